--- /dev/null
+++ b/packages/base/src/common/kindError.ts
@@ -0,0 +1,43 @@
+import VError from 'verror';
+import { errorAnswers, isErrorKind, type ErrorAnswer, type ErrorKind } from './errorKinds.js';
+
+/** Options of {@link kindError}. */
+export interface KindErrorOptions {
+	/** The error that caused this one. */
+	readonly cause?: unknown;
+	/** Plain values that help to find the place; never keys or payloads. */
+	readonly details?: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Creates an error that carries its kind, so that the edge can look up the answer. */
+export function kindError(kind: ErrorKind, message: string, options: KindErrorOptions = {}): VError {
+	const { cause, details } = options;
+	return new VError(
+		{
+			name: kind,
+			...(cause instanceof Error ? { cause } : {}),
+			info: { kind, details: details ?? {} },
+		},
+		'%s',
+		message,
+	);
+}
+
+/** The kind of any thrown value; values without a kind are `internal`. */
+export function kindOf(error: unknown): ErrorKind {
+	if (!(error instanceof Error)) {
+		return 'internal';
+	}
+	const kind: unknown = VError.info(error).kind;
+	return isErrorKind(kind) ? kind : 'internal';
+}
+
+/** The answer from the one table for any thrown value. */
+export function answerOf(error: unknown): ErrorAnswer {
+	return errorAnswers[kindOf(error)];
+}
+
+/** The message of any thrown value, with the messages of its causes. */
+export function messageOf(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
