--- a/packages/configuration/src/common/fleetState.ts
+++ b/packages/configuration/src/common/fleetState.ts
@@ -133,6 +133,8 @@
 	/** Entry hosts that have acknowledged `entrySetOffset`. */
 	readonly acknowledgedBy: readonly string[];
 	readonly waves: Readonly<Record<string, Wave>>;
+	/** Identifiers of the last 1,000 `host-moved` records accepted, oldest first, to recognise a second copy. */
+	readonly recentMoveIds?: readonly string[] | undefined;
 	/** Verdicts on the last notes, oldest first. */
 	readonly verdicts: readonly NoteVerdict[];
 }
