Derive each fleet state from shards of the one before

Change: tables of 1,024 shards share what a record does not touch, the list of verdicts shares its buffer with its successors, and the plain hosts and verdicts of FleetState are built when they are first read.

--- a/packages/configuration/src/common/fleetDraft.ts
+++ b/packages/configuration/src/common/fleetDraft.ts
@@ -20,6 +20,7 @@
 	removeItem(kind: keyof RecordItems, name: string): void;
 	host(name: string): Host | undefined;
 	hostAt(address: string): string | undefined;
+	/** Names of the hosts of a pool. */
 	members(pool: string): ReadonlySet<string>;
 	putHost(host: Host): void;
 	removeHost(name: string): void;
@@ -34,8 +35,7 @@
 	finish(offset: number): FleetParts;
 }
 
-/** Verdicts kept; also the reach of the check for copies. */
-export const MAXIMUM_VERDICTS = 10_000;
+const noMembers: ReadonlySet<string> = new Set();
 
 /** Creates a draft without changes. */
 export function createFleetDraft(before: FleetParts): FleetDraft {
@@ -45,6 +45,7 @@
 	const addressChanges = new Map<string, string | undefined>();
 	const memberChanges = new Map<string, Set<string>>();
 	const claimChanges = new Map<string, string | undefined>();
+	let { verdicts } = before;
 	const verdictChanges = new Map<string, NoteVerdict | undefined>();
 
 	const writable = <Kind extends keyof RecordItems>(kind: Kind): Record<string, RecordItems[Kind]> => {
@@ -56,9 +57,9 @@
 	};
 
 	const changedMembers = (pool: string): Set<string> => {
-		const known = memberChanges.get(pool) ?? new Set(before.membersByPool.get(pool));
-		memberChanges.set(pool, known);
-		return known;
+		const members = memberChanges.get(pool) ?? new Set(before.membersByPool.get(pool));
+		memberChanges.set(pool, members);
+		return members;
 	};
 
 	const host = (name: string): Host | undefined =>
@@ -90,12 +91,15 @@
 		},
 		host,
 		hostAt,
-		members: pool => memberChanges.get(pool) ?? before.membersByPool.get(pool) ?? new Set(),
+		members: pool => memberChanges.get(pool) ?? before.membersByPool.get(pool) ?? noMembers,
 		putHost: next => {
-			removeHost(next.name);
+			const known = host(next.name);
+			if (known?.pool !== next.pool || known.address !== next.address) {
+				removeHost(next.name);
+				changedMembers(next.pool).add(next.name);
+				addressChanges.set(next.address, next.name);
+			}
 			hostChanges.set(next.name, next);
-			changedMembers(next.pool).add(next.name);
-			addressChanges.set(next.address, next.name);
 		},
 		removeHost,
 		claim: name => (claimChanges.has(name) ? claimChanges.get(name) : before.claims.get(name)),
@@ -106,13 +110,13 @@
 			} else if (wasClaimed) {
 				claimChanges.set(name, undefined);
 			}
-			const { [name]: left, ...others } = wave.hosts;
-			const hosts =
-				hostState === undefined
-					? others
-					: left === undefined
-						? { ...others, [name]: hostState }
-						: { ...wave.hosts, [name]: hostState };
+			const hosts: Record<string, WaveHostState> = { ...wave.hosts };
+			if (hostState === undefined) {
+				// eslint-disable-next-line @typescript-eslint/no-dynamic-delete -- the record is a copy
+				delete hosts[name];
+			} else {
+				hosts[name] = hostState;
+			}
 			const next: Wave = { ...wave, hosts };
 			writable('waves')[wave.name] = next;
 			return next;
@@ -121,32 +125,25 @@
 			fields = { ...fields, ...changes };
 		},
 		remember: verdict => {
-			const kept = fields.verdicts.length < MAXIMUM_VERDICTS ? fields.verdicts : fields.verdicts.slice(1);
-			for (const forgotten of fields.verdicts.slice(0, fields.verdicts.length - kept.length)) {
-				verdictChanges.set(forgotten.id, undefined);
+			const { list, dropped } = verdicts.add(verdict);
+			if (dropped !== undefined) {
+				verdictChanges.set(dropped.id, undefined);
 			}
 			verdictChanges.set(verdict.id, verdict);
-			fields = { ...fields, verdicts: [...kept, verdict] };
+			verdicts = list;
 		},
 		finish: offset => {
-			let { membersByPool } = before;
-			if (memberChanges.size > 0) {
-				const copy = new Map(membersByPool);
-				for (const [pool, members] of memberChanges) {
-					if (members.size === 0) {
-						copy.delete(pool);
-					} else {
-						copy.set(pool, members);
-					}
-				}
-				membersByPool = copy;
+			const poolChanges = new Map<string, ReadonlySet<string> | undefined>();
+			for (const [pool, members] of memberChanges) {
+				poolChanges.set(pool, members.size === 0 ? undefined : members);
 			}
 			return {
 				fields: { ...fields, offset },
 				hosts: before.hosts.with(hostChanges),
 				hostByAddress: before.hostByAddress.with(addressChanges),
-				membersByPool,
+				membersByPool: before.membersByPool.with(poolChanges),
 				claims: before.claims.with(claimChanges),
+				verdicts,
 				verdictById: before.verdictById.with(verdictChanges),
 			};
 		},
--- a/packages/configuration/src/common/fleetParts.ts
+++ b/packages/configuration/src/common/fleetParts.ts
@@ -1,8 +1,9 @@
 import type { FleetState, Host, NoteVerdict } from './fleetState.js';
-import { createLayeredTable, type LayeredTable } from './layeredTable.js';
+import { createRecentList, type RecentList } from './recentList.js';
+import { createShardedTable, type ShardedTable } from './shardedTable.js';
 
 /** The fields of the state that are small enough to be copied whole. */
-export type FleetFields = Omit<FleetState, 'hosts'>;
+export type FleetFields = Omit<FleetState, 'hosts' | 'verdicts'>;
 
 /**
  * The state with the indexes that the fold needs. They are derived step by step, so that a record costs a few
@@ -10,26 +11,33 @@
  */
 export interface FleetParts {
 	readonly fields: FleetFields;
-	readonly hosts: LayeredTable<Host>;
+	readonly hosts: ShardedTable<Host>;
 	/** Host name by address. */
-	readonly hostByAddress: LayeredTable<string>;
+	readonly hostByAddress: ShardedTable<string>;
 	/** Names of the hosts of each pool that has any. */
-	readonly membersByPool: ReadonlyMap<string, ReadonlySet<string>>;
+	readonly membersByPool: ShardedTable<ReadonlySet<string>>;
 	/** The wave that has claimed a host, by host name. */
-	readonly claims: LayeredTable<string>;
-	readonly verdictById: LayeredTable<NoteVerdict>;
+	readonly claims: ShardedTable<string>;
+	readonly verdicts: RecentList<NoteVerdict>;
+	readonly verdictById: ShardedTable<NoteVerdict>;
 }
 
+/** Verdicts kept; also the reach of the check for copies. */
+export const MAXIMUM_VERDICTS = 10_000;
+
 const partsByState = new WeakMap<FleetState, FleetParts>();
 
-/** The state that these parts make up. Its `hosts` record is built when it is first read. */
+/** The state that these parts make up. Its `hosts` and `verdicts` are built when they are first read. */
 export function stateOf(parts: FleetParts): FleetState {
-	const { hosts } = parts;
+	const { hosts, verdicts } = parts;
 	const state: FleetState = {
 		...parts.fields,
 		get hosts() {
 			return hosts.toRecord();
 		},
+		get verdicts() {
+			return verdicts.toArray();
+		},
 	};
 	partsByState.set(state, parts);
 	return state;
@@ -41,7 +49,7 @@
 	if (known !== undefined) {
 		return known;
 	}
-	const { hosts, ...fields } = state;
+	const { hosts, verdicts, ...fields } = state;
 	const membersByPool = new Map<string, Set<string>>();
 	for (const host of Object.values(hosts)) {
 		const members = membersByPool.get(host.pool) ?? new Set();
@@ -54,11 +62,12 @@
 	);
 	const parts: FleetParts = {
 		fields,
-		hosts: createLayeredTable(Object.entries(hosts)),
-		hostByAddress: createLayeredTable(Object.values(hosts).map((host): [string, string] => [host.address, host.name])),
-		membersByPool,
-		claims: createLayeredTable(claims),
-		verdictById: createLayeredTable(fields.verdicts.map((verdict): [string, NoteVerdict] => [verdict.id, verdict])),
+		hosts: createShardedTable(Object.entries(hosts)),
+		hostByAddress: createShardedTable(Object.values(hosts).map((host): [string, string] => [host.address, host.name])),
+		membersByPool: createShardedTable(membersByPool),
+		claims: createShardedTable(claims),
+		verdicts: createRecentList(MAXIMUM_VERDICTS, verdicts),
+		verdictById: createShardedTable(verdicts.map((verdict): [string, NoteVerdict] => [verdict.id, verdict])),
 	};
 	partsByState.set(state, parts);
 	return parts;
--- a/packages/configuration/src/common/noteRules.ts
+++ b/packages/configuration/src/common/noteRules.ts
@@ -1,6 +1,6 @@
 import type { ReleaseNote } from './controlRecord.js';
 import type { FleetDraft } from './fleetDraft.js';
-import type { FleetFields } from './fleetParts.js';
+import { MAXIMUM_VERDICTS, type FleetParts } from './fleetParts.js';
 import type { NoteVerdict } from './fleetState.js';
 import { itemRules, type ItemRule } from './itemRules.js';
 import {
@@ -14,7 +14,6 @@
 	type NoteKind,
 } from './noteKinds.js';
 import { addWave, leaveWaves, resumeWave, withdrawWave } from './waveRules.js';
-import { MAXIMUM_VERDICTS } from './fleetDraft.js';
 
 /** Why a note is refused. */
 export type NoteRefusal = NonNullable<NoteVerdict['refusal']>;
@@ -40,18 +39,18 @@
 }
 
 /** Why a later accepted note rules this one out. */
-export function conflictProblem(fields: FleetFields, note: ReleaseNote): string | undefined {
-	const { verdicts } = fields;
+export function conflictProblem(before: FleetParts, note: ReleaseNote): string | undefined {
+	const { verdicts, fields } = before;
 	if (note.writtenAgainst > fields.noteOffset) {
 		return `the note was written against offset ${note.writtenAgainst}, which no note has reached`;
 	}
-	const [oldest] = verdicts;
+	const oldest = verdicts.at(0);
 	if (oldest !== undefined && verdicts.length >= MAXIMUM_VERDICTS && note.writtenAgainst < oldest.offset) {
 		return `the note was written against offset ${note.writtenAgainst}; verdicts are remembered from offset ${oldest.offset}`;
 	}
 	const touched = new Set(noteChanges(note).map(touchedName));
 	for (let index = verdicts.length - 1; index >= 0; index--) {
-		const verdict = verdicts[index];
+		const verdict = verdicts.at(index);
 		if (verdict === undefined || verdict.offset <= note.writtenAgainst) {
 			break;
 		}
@@ -65,7 +64,7 @@
 
 /** Applies a note to a draft. @param offset where the note stands in the control stream */
 export function applyNote(draft: FleetDraft, note: ReleaseNote, offset: number): NoteRefusal | undefined {
-	const conflict = conflictProblem(draft.before.fields, note);
+	const conflict = conflictProblem(draft.before, note);
 	if (conflict !== undefined) {
 		return { kind: 'note-conflict', reason: conflict };
 	}
