--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,7 +70,7 @@
 		files: ['packages/daemon/src/node/edges/**/*.ts'],
 		rules: {
 			'@typescript-eslint/no-extraneous-class': ['error', { allowWithDecorator: true }],
-			'@typescript-eslint/no-unsafe-assignment': 'off',
+			'@typescript-eslint/no-unsafe-class-instance-assignment': 'off',
 		},
 	},
 );
--- a/packages/base/src/common/errorKinds.ts
+++ b/packages/base/src/common/errorKinds.ts
@@ -72,7 +72,7 @@
 	// Between processes.
 	'log-record-expired': answer(410, 75, 'not-applicable', false),
 	'platform-unreachable': answer(503, 69, 'not-applicable', true),
-	'peer-unreachable': answer(503, 69, 'not-applicable', true),
+	'peer-unreachable': answer(503, 69, 'unknown', true),
 	internal: answer(500, 70, 'unknown', false),
 } as const satisfies Record<string, ErrorAnswer>;
 
--- /dev/null
+++ b/packages/base/src/node/parseYamlSettings.ts
@@ -0,0 +1,60 @@
+import { LineCounter, parseDocument } from 'yaml';
+import type { z } from 'zod';
+import { kindError } from '../common/kindError.js';
+import type { ErrorKind } from '../common/errorKinds.js';
+
+/** Where a YAML text came from and how its errors are reported. */
+export interface YamlSource {
+	/** File name for messages. */
+	readonly file: string;
+	readonly text: string;
+	/** Error kind for anything that does not fit. */
+	readonly errorKind: ErrorKind;
+}
+
+/**
+ * Parses a YAML text and checks it by schema.
+ * @throws the source's error kind; the message names the file, the line, the key, what was found and what is allowed
+ */
+export function parseYamlSettings<Output>(source: YamlSource, schema: z.ZodType<Output>): Output {
+	const lineCounter = new LineCounter();
+	const document = parseDocument(source.text, { lineCounter });
+	const syntaxError = document.errors[0];
+	if (syntaxError !== undefined) {
+		throw kindError(source.errorKind, `${source.file}: ${syntaxError.message}`);
+	}
+	const value: unknown = document.toJS();
+	const parsed = schema.safeParse(value);
+	if (parsed.success) {
+		return parsed.data;
+	}
+	const lines = parsed.error.issues.map(issue => {
+		const path = issue.path.map(String);
+		const found = valueAt(value, path);
+		return `${source.file}:${lineOf(document, lineCounter, path)}: ${path.join('.') || '(whole file)'}: found ${describe(found)}; ${issue.message}`;
+	});
+	throw kindError(source.errorKind, lines.join('\n'));
+}
+
+function valueAt(value: unknown, path: readonly string[]): unknown {
+	return path.reduce<unknown>(
+		(inner, key) =>
+			typeof inner === 'object' && inner !== null ? (inner as Readonly<Record<string, unknown>>)[key] : undefined,
+		value,
+	);
+}
+
+function lineOf(document: ReturnType<typeof parseDocument>, lineCounter: LineCounter, path: readonly string[]): number {
+	for (let length = path.length; length > 0; length--) {
+		const keys = path.slice(0, length).map(key => (/^\d+$/.test(key) ? Number(key) : key));
+		const node: unknown = document.getIn(keys, true);
+		if (typeof node === 'object' && node !== null && 'range' in node && Array.isArray(node.range)) {
+			return lineCounter.linePos(Number(node.range[0])).line;
+		}
+	}
+	return 1;
+}
+
+function describe(value: unknown): string {
+	return value === undefined ? 'nothing' : JSON.stringify(value);
+}
