--- a/packages/standins/src/node/workerLedger.ts
+++ b/packages/standins/src/node/workerLedger.ts
@@ -26,8 +26,10 @@
 	ended(taskId: string, end: TaskEnd): void;
 	/** The entries kept, oldest first, and how many were dropped. */
 	read(): { readonly dropped: number; readonly entries: readonly LedgerEntry[] };
-	/** Slot-milliseconds by team up to a time on the process clock that never goes back. */
+	/** Slot-milliseconds by team since the last reboot, up to a time on the process clock that never goes back. */
 	slotMsByTeam(until: number): Readonly<Record<string, number>>;
+	/** Begins the count of slot time again. Call it when no task runs. */
+	resetUsage(): void;
 }
 
 /** Entries kept; 100,000 starts with their ends. */
@@ -76,5 +78,9 @@
 			}
 			return Object.fromEntries(result);
 		},
+		resetUsage: () => {
+			totals.clear();
+			intervals = [];
+		},
 	};
 }
--- a/packages/standins/src/node/workerTasks.ts
+++ b/packages/standins/src/node/workerTasks.ts
@@ -143,6 +143,7 @@
 			for (const taskId of [...tasks.keys()]) {
 				end(taskId, 'dropped')?.endedByWorker('dropped');
 			}
+			ledger.resetUsage();
 			terms.clear();
 			draining = false;
 			boot = randomUUID();
--- a/packages/standins/src/test/workerHost.test.ts
+++ b/packages/standins/src/test/workerHost.test.ts
@@ -153,5 +153,8 @@
 		clock.advance(1);
 		expect(ledger.slotMsByTeam(clock.now())).toEqual({ team: 30 });
 		expect(ledger.slotMsByTeam(clock.now())).toEqual({ team: 30 });
+		ledger.resetUsage();
+		expect(ledger.slotMsByTeam(clock.now())).toEqual({});
+		expect(ledger.read().entries).toHaveLength(2);
 	});
 });
