Ask about a silent request exactly one silence time after its last byte

Cause: the check ran in fixed windows, so after a part of an answer it could come up to twice the silence time late. Change: the wait is counted from the last byte or the last question.

--- a/packages/platform/src/node/requestAttempt.ts
+++ b/packages/platform/src/node/requestAttempt.ts
@@ -97,6 +97,8 @@
 	let cause: AbortCause | undefined;
 	/** Counts arrivals of bytes; the watch compares it before and after it waits. */
 	let arrivals = 0;
+	/** When bytes last arrived or a question was last asked, whichever is later. */
+	let quietSince = 0;
 
 	const abort = (kind: AbortCause['kind'], message: string): void => {
 		cause ??= { kind, message };
@@ -114,11 +116,12 @@
 		let unanswered = 0;
 		while (!aborter.signal.aborted) {
 			const since = arrivals;
-			if (!(await isStillSilent(silenceMs, since))) {
+			if (!(await isStillSilent(Math.max(0, quietSince + silenceMs - performance.now()), since))) {
 				unanswered = 0;
 				continue;
 			}
 			const answer = await askTask(address, permit.taskId);
+			quietSince = Math.max(quietSince, performance.now());
 			unanswered = answer === 'unanswered' ? unanswered + 1 : 0;
 			if (unanswered >= MAXIMUM_UNANSWERED && (await isStillSilent(0, since))) {
 				abort('endpoint-silent', `the endpoint sent nothing and left ${unanswered} status questions unanswered`);
@@ -153,9 +156,13 @@
 			body,
 			signal: aborter.signal,
 			maximumBytes: maximumAnswerBytes,
-			onSent: () => void watch(),
+			onSent: () => {
+				quietSince = performance.now();
+				void watch();
+			},
 			onBytes: () => {
 				arrivals++;
+				quietSince = performance.now();
 			},
 			checkHead: (_status, headers) =>
 				headers[endpointHeaders.taskId] === permit.taskId
