--- a/packages/platform/src/node/requestAttempt.ts
+++ b/packages/platform/src/node/requestAttempt.ts
@@ -25,6 +25,9 @@
 /** Status questions in a row without an answer after which the connection counts as dead. */
 const MAXIMUM_UNANSWERED = 3;
 
+/** A longer time would make the timer fire at once. */
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
 /** Why this process ended an attempt itself. */
 interface AbortCause {
 	readonly kind: Extract<UnknownAttemptKind, 'endpoint-silent' | 'cancelled-running' | 'deadline-exceeded'>;
@@ -94,6 +97,8 @@
 	let cause: AbortCause | undefined;
 	/** Counts arrivals of bytes; the watch compares it before and after it waits. */
 	let arrivals = 0;
+	/** When bytes last arrived or a question was last asked, whichever is later. */
+	let quietSince = 0;
 
 	const abort = (kind: AbortCause['kind'], message: string): void => {
 		cause ??= { kind, message };
@@ -111,11 +116,12 @@
 		let unanswered = 0;
 		while (!aborter.signal.aborted) {
 			const since = arrivals;
-			if (!(await isStillSilent(silenceMs, since))) {
+			if (!(await isStillSilent(Math.max(0, quietSince + silenceMs - performance.now()), since))) {
 				unanswered = 0;
 				continue;
 			}
 			const answer = await askTask(address, permit.taskId);
+			quietSince = Math.max(quietSince, performance.now());
 			unanswered = answer === 'unanswered' ? unanswered + 1 : 0;
 			if (unanswered >= MAXIMUM_UNANSWERED && (await isStillSilent(0, since))) {
 				abort('endpoint-silent', `the endpoint sent nothing and left ${unanswered} status questions unanswered`);
@@ -132,7 +138,10 @@
 		}
 	};
 
-	const deadlineTimer = setTimeout(() => abort('deadline-exceeded', 'the deadline has passed'), Math.max(0, deadline));
+	const deadlineTimer = setTimeout(
+		() => abort('deadline-exceeded', 'the deadline has passed'),
+		Math.min(Math.max(0, deadline), LONGEST_TIMER_MS),
+	);
 	const onCancel = (): void => abort('cancelled-running', 'the request was cancelled');
 	if (signal?.aborted === true) {
 		onCancel();
@@ -147,9 +156,13 @@
 			body,
 			signal: aborter.signal,
 			maximumBytes: maximumAnswerBytes,
-			onSent: () => void watch(),
+			onSent: () => {
+				quietSince = performance.now();
+				void watch();
+			},
 			onBytes: () => {
 				arrivals++;
+				quietSince = performance.now();
 			},
 			checkHead: (_status, headers) =>
 				headers[endpointHeaders.taskId] === permit.taskId
