--- a/packages/daemon/src/node/edges/httpServers.ts
+++ b/packages/daemon/src/node/edges/httpServers.ts
@@ -20,6 +20,8 @@
 /** Larger control bodies are refused; a release note with 20,000 hosts fits. */
 const MAXIMUM_CONTROL_BODY_BYTES = 16 * 1_048_576;
 
+const CLOSE_IDLE_EVERY_MS = 50;
+
 @Module({})
 class EdgeModule {
 	static with(controller: Type, token: symbol, service: unknown): DynamicModule {
@@ -76,6 +78,11 @@
 	await application.listen(Number(address.slice(separator + 1)), host);
 	return {
 		address: await application.getUrl(),
-		close: () => application.close(),
+		close: async () => {
+			// A kept-alive connection that was busy when the listener closed would hold the server open once it is idle.
+			const server = application.getHttpServer();
+			const timer = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_EVERY_MS);
+			await application.close().finally(() => clearInterval(timer));
+		},
 	};
 }
