--- a/packages/configuration/src/common/itemRules.ts
+++ b/packages/configuration/src/common/itemRules.ts
@@ -108,9 +108,13 @@
 			if (draft.items('pools')[host.pool] === undefined) {
 				return `host ${host.name} names the unknown pool ${host.pool}`;
 			}
-			const holder = draft.hostAt(host.address);
-			if (holder !== host.name) {
-				return `host ${host.name} has the address ${host.address} of host ${holder ?? 'unknown'}`;
+			// The index holds the last host put with an address; the one before the note may still have it too.
+			const holders = [draft.hostAt(host.address), draft.before.hostByAddress.get(host.address)];
+			const other = holders.find(
+				name => name !== undefined && name !== host.name && draft.host(name)?.address === host.address,
+			);
+			if (other !== undefined) {
+				return `host ${host.name} has the address ${host.address} of host ${other}`;
 			}
 			const before = draft.before.hosts.get(host.name);
 			const entered = before?.pool !== host.pool || before.dataCentre !== host.dataCentre;
