Add the command line for operators

Cause: operators change and watch the fleet only through release notes and the operator interface of the daemons. A lost answer to a submitted note is append-unknown and says how to ask again.

--- /dev/null
+++ b/packages/cli/src/common/operatorProtocol.ts
@@ -0,0 +1,147 @@
+import type { ErrorKind, Outcome } from '@chestnutwheel/base/common/errorKinds.js';
+import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
+import type { FleetState, NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
+
+/** Body of every answer that is an error. */
+export interface OperatorErrorBody {
+	readonly error: { readonly kind: ErrorKind; readonly message: string; readonly outcome: Outcome };
+}
+
+/** Answer of `POST /operator/notes`. A refused note is an error with the kind of its refusal. */
+export interface SubmitAnswer {
+	readonly verdict: NoteVerdict;
+}
+
+/** Answer of `GET /operator/notes`, oldest first. */
+export interface NotesAnswer {
+	readonly verdicts: readonly NoteVerdict[];
+}
+
+/** Answer of `GET /operator/notes/{id}`. */
+export interface NoteAnswer {
+	readonly note: ReleaseNote;
+	readonly verdict: NoteVerdict;
+}
+
+/** How far one entry host has applied the control stream. */
+export interface EntryHostProgress {
+	readonly name: string;
+	/** Offset of the last record applied; -1 when the host has not answered. */
+	readonly offset: number;
+	readonly reachable: boolean;
+}
+
+/** Answer of `GET /operator/in-force?offset=N`. */
+export interface InForceAnswer {
+	readonly entryHosts: readonly EntryHostProgress[];
+}
+
+/** One host as the leader of its cell sees it. */
+export interface HostStatus {
+	readonly state: string;
+	readonly reason: string;
+	readonly running: number;
+	readonly slots: number;
+}
+
+/** One cell as its leader sees it; the same fields as `DispatchOverview`. */
+export interface CellStatus {
+	readonly cell: string;
+	readonly ready: boolean;
+	readonly term: number;
+	readonly waitingByQueue: Readonly<Record<string, number>>;
+	readonly runningByTeam: Readonly<Record<string, number>>;
+	readonly slotMsByTeam: Readonly<Record<string, number>>;
+	readonly hosts: Readonly<Record<string, HostStatus>>;
+}
+
+/** Answer of `GET /operator/status`. */
+export interface StatusAnswer {
+	/** Name of the entry host that answers. */
+	readonly daemon: string;
+	readonly ready: boolean;
+	/** Why the daemon is not ready. */
+	readonly reason?: string | undefined;
+	readonly offset: number;
+	readonly viewAgeMs: number;
+	readonly logReadable: boolean;
+	/** By cell; a cell without a known leader has none. */
+	readonly leaders: Readonly<Record<string, { readonly entryHost?: string | undefined; readonly term: number }>>;
+	/** By cell; a cell whose leader did not answer is missing. */
+	readonly cells: Readonly<Record<string, CellStatus>>;
+}
+
+/** One long job. */
+export interface JobStatus {
+	readonly id: string;
+	readonly cell: string;
+	readonly team: string;
+	readonly queue: string;
+	readonly state: string;
+	readonly attempts: number;
+	readonly host?: string | undefined;
+	readonly reason?: string | undefined;
+}
+
+/** Answer of `GET /operator/jobs`. */
+export interface JobsAnswer {
+	readonly jobs: readonly JobStatus[];
+}
+
+/** Kinds of things that can be explained. */
+export const explainKinds = ['job', 'request', 'host', 'wave', 'note'] as const;
+
+/** One decision about a thing. */
+export interface ExplainEntry {
+	/** Wall clock of the daemon that decided, in milliseconds since 1970; for display only. */
+	readonly at: number;
+	readonly subject: string;
+	readonly reason: string;
+	readonly details: Readonly<Record<string, string | number>>;
+}
+
+/** Answer of `GET /operator/explain/{kind}/{name}`, oldest first. */
+export interface ExplainAnswer {
+	readonly entries: readonly ExplainEntry[];
+}
+
+/** Burn of one objective over one window. */
+export interface BurnWindow {
+	readonly windowMs: number;
+	readonly good: number;
+	readonly bad: number;
+	/** Rate at which the error budget is used; 1 uses it up exactly in the period of the objective. */
+	readonly burnRate: number;
+}
+
+/** Burn of one team in one queue. */
+export interface BurnRow {
+	readonly team: string;
+	readonly queue: string;
+	readonly latencyMs: number;
+	readonly target: number;
+	readonly windows: readonly BurnWindow[];
+	readonly alarm: 'none' | 'slow-burn' | 'fast-burn';
+}
+
+/** Answer of `GET /operator/burn`. */
+export interface BurnAnswer {
+	/** Wall clock of the daemon, in milliseconds since 1970; for display only. */
+	readonly at: number;
+	readonly rows: readonly BurnRow[];
+}
+
+/** Calls of the operator interface. Every call fails with an error that carries its kind. */
+export interface OperatorClient {
+	/** @throws `append-unknown` when the answer was lost, `daemon-unreachable` when nothing was sent */
+	submitNote(note: ReleaseNote): Promise<SubmitAnswer>;
+	notes(): Promise<NotesAnswer>;
+	note(id: string): Promise<NoteAnswer>;
+	state(): Promise<FleetState>;
+	inForce(offset: number): Promise<InForceAnswer>;
+	status(): Promise<StatusAnswer>;
+	jobs(): Promise<JobsAnswer>;
+	explain(kind: string, name: string): Promise<ExplainAnswer>;
+	burn(): Promise<BurnAnswer>;
+	close(): Promise<void>;
+}
--- a/packages/configuration/src/common/revertNote.ts
+++ b/packages/configuration/src/common/revertNote.ts
@@ -16,17 +16,20 @@
 	readonly author: string;
 }
 
+/** What things were before a note; waves are read from the present state, which keeps them. */
+export type ThingsBefore = Partial<Pick<FleetState, Exclude<NoteKind, 'waves'>>>;
+
 /** The values of a kind by name; the shared shape of every record of the state. */
 type ItemsByName = Readonly<Record<string, unknown>>;
 
 /**
  * Builds the note that undoes another against the present state.
- * @param before the state just before the note was accepted
+ * @param before the things that the note changed or withdrew, as they were before it
  * @param present the state that the author of the reversal sees
  */
 export function revertNote(
 	reverted: ReleaseNote,
-	before: FleetState,
+	before: ThingsBefore,
 	present: FleetState,
 	head: ReversalHead,
 ): Reversal {
@@ -39,7 +42,7 @@
 		if (kind === 'waves') {
 			continue;
 		}
-		const itemsBefore: ItemsByName = before[kind];
+		const itemsBefore: ItemsByName = before[kind] ?? {};
 		const itemsNow: ItemsByName = present[kind];
 		const names = (items: readonly ItemOf<NoteKind>[] | undefined): string[] => (items ?? []).map(itemName);
 
@@ -53,7 +56,7 @@
 		for (const name of [...names(reverted.changed?.[kind]), ...(reverted.withdrawn?.[kind] ?? [])]) {
 			const value = itemsBefore[name];
 			if (value === undefined) {
-				leftAlone.push(`the state before the note does not have ${kindWords[kind]} ${name}`);
+				leftAlone.push(`it is not known what ${kindWords[kind]} ${name} was before the note`);
 			} else if (itemsNow[name] === undefined) {
 				(added[kind] ??= []).push(value);
 			} else if (fieldDifferences('', itemsNow[name], value).length === 0) {
@@ -73,7 +76,7 @@
 		}
 	}
 	for (const name of reverted.withdrawn?.waves ?? []) {
-		const wave = before.waves[name];
+		const wave = present.waves[name];
 		const waiting = Object.entries(wave?.hosts ?? {})
 			.filter(([host, hostState]) => hostState === 'waiting' && present.hosts[host] !== undefined)
 			.map(([host]) => host);
--- a/packages/configuration/src/test/foldProperties.test.ts
+++ b/packages/configuration/src/test/foldProperties.test.ts
@@ -13,7 +13,6 @@
 // - snapshot: `recentMoveIds` left out of the text: "a snapshot and the rest".
 // - handleNote: no `handleCopy`: "a second copy of any record".
 // - fleetDraft.writable: the record changed without a copy: "two folds".
-// - shardedTable.with: the shard changed without a copy: "two folds".
 // - recentList.add: the buffer extended by any list: "a snapshot and the rest".
 
 const POOLS = ['rye', 'oats', 'spare'];
