--- a/packages/work/src/common/workRecord.ts
+++ b/packages/work/src/common/workRecord.ts
@@ -47,5 +47,7 @@
 export interface RequestEnd {
 	readonly team: string;
 	readonly requestKey: string;
+	/** The request that ended; a delayed record must not end a later request with the same key. */
+	readonly requestId: string;
 	readonly outcome: 'ran' | 'not-run' | 'unknown';
 }
