Take "not run" only from the term that recorded the start

Cause: a request asked at two leaders could be withdrawn at one, whose "not run" then freed the key that the other had let start. Change: the fold takes a "not run" only under the term of the start. "Ran" and "unknown" count under any later term. An end of any request has a test in workLedger.test.ts.

--- a/packages/work/src/common/workLedger.ts
+++ b/packages/work/src/common/workLedger.ts
@@ -158,7 +158,9 @@
 	const foldEnd = (end: RequestEnd): void => {
 		const key = keyOf(end.team, end.requestKey);
 		const known = keys.get(key);
-		if (known?.requestId === end.requestId && known.state === 'started') {
+		// "Not run" is known only to the leader that recorded the start; another one may have been asked for the same id.
+		const mayKnow = end.outcome !== 'not-run' || known?.term === term;
+		if (mayKnow && known?.requestId === end.requestId && known.state === 'started') {
 			keys.set(key, { ...known, state: end.outcome });
 		}
 	};
--- a/packages/work/src/test/workLedger.test.ts
+++ b/packages/work/src/test/workLedger.test.ts
@@ -53,6 +53,19 @@
 		expect([ledger.jobCount, ledger.jobBytes]).toEqual([0, 0]);
 	});
 
+	it('frees a key only by the end of its own request under the term of its start', () => {
+		const ledger = createWorkLedger({ cell: 'desk' });
+		const key = { team: 't', requestKey: 'k', requestId: 'r' };
+		const end = (term: number, requestId: string, outcome: string) => {
+			fold(ledger, term, { type: 'requests-ended', ends: [{ ...key, requestId, outcome }] } as never);
+			return ledger.requestKey('t', 'k', 0)?.state;
+		};
+		fold(ledger, 1, { type: 'requests-started', starts: [{ ...key, keepMs: 1_000 }] } as never);
+		expect(end(1, 'other', 'not-run')).toBe('started');
+		expect(end(2, 'r', 'not-run')).toBe('started');
+		expect(end(2, 'r', 'ran')).toBe('ran');
+	});
+
 	it('restores a snapshot with its deadlines, and refuses a damaged, foreign or older one', () => {
 		const ledger = ledgerWithJob();
 		const start = { team: 't', requestKey: 'k', requestId: 'r', keepMs: 1_000 };
