Survey free hosts once per grant and push out of full queues by team

Change: one survey per grant; in a full queue the newest work of the team with most waiting requests, or the team's own less pressing work, gives way.

--- a/packages/dispatch/src/common/dispatcher.ts
+++ b/packages/dispatch/src/common/dispatcher.ts
@@ -6,6 +6,7 @@
 import { createGranting, refuse } from './granting.js';
 import { createRelief } from './relief.js';
 import { OPEN_SHARE, OPEN_TEAM, teamName } from './teamName.js';
+import type { WaitingRequest } from './waitingQueues.js';
 
 type HandlerTable = {
 	readonly [Type in DispatchMessage['type']]: (
@@ -83,6 +84,23 @@
 		}
 	};
 
+	const enqueue = (item: WaitingRequest, bound: number, now: number, emit: Emit): void => {
+		const { request } = item;
+		if (waiting.countOfQueue(request.queue) >= bound) {
+			const pushedOut = waiting.givesWay(item);
+			const reason = pushedOut === undefined ? 'queue-at-its-bound' : 'pushed-out-of-full-queue';
+			refuse(emit, pushedOut?.request ?? request, { kind: 'queue-full', reason });
+			if (pushedOut === undefined) {
+				return;
+			}
+			waiting.remove(pushedOut.request.requestId);
+		}
+		waiting.add(item);
+		if (request.class === 'urgent') {
+			relief.urgentQueued(now);
+		}
+	};
+
 	const explainWait = (requestId: string, now: number, emit: Emit): void => {
 		const item = waiting.find(requestId);
 		if (item === undefined) {
@@ -91,7 +109,10 @@
 		const { queue } = item.request;
 		const limit = context.state?.teams[item.team]?.limit;
 		const counted = scheduler.countedFor(item.team, now);
-		const slotReason = scheduler.fullQueues().has(queue) ? 'waits-for-slot' : 'waits-for-turn';
+		const slotReason =
+			context.state !== undefined && scheduler.hasPlace(context.state, item.request)
+				? 'waits-for-turn'
+				: 'waits-for-slot';
 		const reason = !context.mayGrant(now)
 			? 'waits-for-takeover'
 			: limit !== undefined && counted >= limit
@@ -183,10 +204,8 @@
 				const item = { request, team: teamName(request.team), enqueuedAt: now };
 				if (refusal !== undefined) {
 					refuse(emit, request, refusal);
-				} else if (!waiting.add(item, bound)) {
-					refuse(emit, request, { kind: 'queue-full', reason: 'queue-at-its-bound' });
-				} else if (request.class === 'urgent') {
-					relief.urgentQueued(now);
+				} else {
+					enqueue(item, bound, now, emit);
 				}
 			}
 		},
--- a/packages/dispatch/src/common/granting.ts
+++ b/packages/dispatch/src/common/granting.ts
@@ -110,7 +110,7 @@
 				}
 				const refusal = admissionRefusal(state, cell, item.request);
 				const queue = state.queues[item.request.queue];
-				const place = queue && placement.choose(queue, item.request, now, lease.until);
+				const place = queue && placement.choose(queue, item.request);
 				if (refusal !== undefined) {
 					waiting.remove(item.request.requestId);
 					refuse(emit, item.request, refusal);
--- a/packages/dispatch/src/common/placement.ts
+++ b/packages/dispatch/src/common/placement.ts
@@ -21,9 +21,14 @@
 export interface Placement {
 	/** Why a host gets starts or not. */
 	stateOf(record: HostRecord, now: number): HostDispatchState;
-	/** Whether a queue has a slot for a class of work. */
-	hasPlace(queue: Queue, request: PlacementRequest, now: number, leaseUntil: number): boolean;
-	choose(queue: Queue, request: PlacementRequest, now: number, leaseUntil: number): Place | undefined;
+	/** Finds the hosts that can take a start now; to be called again after each grant. */
+	survey(now: number, leaseUntil: number): void;
+	/** Whether the survey found any host with a free slot. */
+	readonly anyFree: boolean;
+	/** Whether a queue has a slot for a class of work, as of the survey. */
+	hasPlace(queue: Queue, workClass: WorkClass, kind: PlacementRequest['kind']): boolean;
+	/** The best place as of the survey. */
+	choose(queue: Queue, request: PlacementRequest): Place | undefined;
 	slotsOf(record: HostRecord): number;
 	/** Pools that the queue may use under the policy, in order. */
 	poolsOf(queue: Queue): readonly string[];
@@ -55,6 +60,12 @@
 	const { policy, hosts, grants, takeover, clocks, health, random } = context;
 	let sparePools: ReadonlySet<string> = new Set();
 	const byPool = new Map<string, HostRecord[]>();
+	/** Places by pool, as of the last survey. */
+	const places = new Map<string, readonly Place[]>();
+	/** Whether research fits in a pool, as of the last survey. */
+	const fits = new Map<string, boolean>();
+	let surveyedAt = 0;
+	let anyFree = false;
 
 	const slotsOf = (record: HostRecord): number => Math.min(record.host.slots, record.reportedSlots ?? Infinity);
 	const freeOf = (record: HostRecord): number => slotsOf(record) - grants.countOfHost(record.host.name);
@@ -72,11 +83,15 @@
 		return health.isSetAside(name) ? 'set-aside' : 'open';
 	};
 
-	const startOn = (record: HostRecord, request: PlacementRequest, now: number, leaseUntil: number) => {
+	const startOn = (record: HostRecord, now: number, leaseUntil: number): Place | undefined => {
 		const { name } = record.host;
+		// Most hosts are full when it matters, so this check comes first.
+		if (freeOf(record) <= 0 || record.boot === undefined) {
+			return undefined;
+		}
 		const state = stateOf(record, now);
-		const probe = state === 'set-aside' && request.kind === 'request' && health.mayProbe(name, now);
-		if ((state !== 'open' && !probe) || freeOf(record) <= 0 || record.boot === undefined) {
+		const probe = state === 'set-aside' && health.mayProbe(name, now);
+		if (state !== 'open' && !probe) {
 			return undefined;
 		}
 		const deadline = clocks.startDeadline(name, now, leaseUntil);
@@ -84,23 +99,31 @@
 	};
 
 	/** Research leaves the headroom of a pool free. */
-	const researchFits = (pool: string, now: number): boolean => {
+	const researchFits = (pool: string): boolean => {
+		const known = fits.get(pool);
+		if (known !== undefined) {
+			return known;
+		}
 		let slots = 0;
 		let free = 0;
 		for (const record of byPool.get(pool) ?? []) {
-			if (stateOf(record, now) === 'open') {
+			if (stateOf(record, surveyedAt) === 'open') {
 				slots += slotsOf(record);
 				free += Math.max(0, freeOf(record));
 			}
 		}
-		return free > Math.ceil(slots * policy.headroomFraction);
+		const result = free > Math.ceil(slots * policy.headroomFraction);
+		fits.set(pool, result);
+		return result;
 	};
 
 	const poolsOf = (queue: Queue): readonly string[] =>
 		policy.lending ? queue.pools : queue.pools.filter((pool, index) => index === 0 || !sparePools.has(pool));
 
-	const openPools = (queue: Queue, workClass: WorkClass, now: number): readonly string[] =>
-		workClass === 'research' ? poolsOf(queue).filter(pool => researchFits(pool, now)) : poolsOf(queue);
+	const openPools = (queue: Queue, workClass: WorkClass): readonly string[] =>
+		poolsOf(queue).filter(
+			pool => (places.get(pool)?.length ?? 0) > 0 && (workClass !== 'research' || researchFits(pool)),
+		);
 
 	const loadOf = (place: Place, request: PlacementRequest): number => {
 		const { name } = place.record.host;
@@ -115,15 +138,14 @@
 		left.avoided === right.avoided ? left.load < right.load : !left.avoided;
 
 	/** The best place of a pool. Ties are broken at random, so that equal workers share the work. */
-	const bestOf = (pool: string, request: PlacementRequest, now: number, leaseUntil: number): Choice | undefined => {
+	const bestOf = (pool: string, request: PlacementRequest): Choice | undefined => {
 		let best: Choice | undefined;
 		let ties = 1;
-		for (const record of byPool.get(pool) ?? []) {
-			const place = startOn(record, request, now, leaseUntil);
-			if (place === undefined) {
+		for (const place of places.get(pool) ?? []) {
+			if (place.probe && request.kind === 'job') {
 				continue;
 			}
-			const { name, rack } = record.host;
+			const { name, rack } = place.record.host;
 			const avoided = request.avoidHosts.includes(name) || request.avoidHosts.includes(rack);
 			const choice = { place, avoided, load: loadOf(place, request) };
 			if (best === undefined || better(choice, best)) {
@@ -140,14 +162,31 @@
 		stateOf,
 		slotsOf,
 		poolsOf,
-		hasPlace: (queue, request, now, leaseUntil) =>
-			openPools(queue, request.class, now).some(pool =>
-				(byPool.get(pool) ?? []).some(record => startOn(record, request, now, leaseUntil) !== undefined),
-			),
-		choose: (queue, request, now, leaseUntil) => {
+		survey: (now, leaseUntil) => {
+			surveyedAt = now;
+			anyFree = false;
+			fits.clear();
+			for (const [pool, records] of byPool) {
+				const found: Place[] = [];
+				for (const record of records) {
+					const place = startOn(record, now, leaseUntil);
+					if (place !== undefined) {
+						found.push(place);
+					}
+				}
+				anyFree ||= found.length > 0;
+				places.set(pool, found);
+			}
+		},
+		get anyFree() {
+			return anyFree;
+		},
+		hasPlace: (queue, workClass, kind) =>
+			openPools(queue, workClass).some(pool => places.get(pool)?.some(place => !place.probe || kind === 'request')),
+		choose: (queue, request) => {
 			let fallback: Choice | undefined;
-			for (const pool of openPools(queue, request.class, now)) {
-				const choice = bestOf(pool, request, now, leaseUntil);
+			for (const pool of openPools(queue, request.class)) {
+				const choice = bestOf(pool, request);
 				if (choice !== undefined && !choice.avoided) {
 					return choice.place;
 				}
@@ -160,6 +199,7 @@
 		},
 		refresh: () => {
 			byPool.clear();
+			places.clear();
 			for (const record of hosts.records()) {
 				const list = byPool.get(record.host.pool) ?? [];
 				list.push(record);
--- a/packages/dispatch/src/common/relief.ts
+++ b/packages/dispatch/src/common/relief.ts
@@ -15,11 +15,16 @@
 /** Displacements that are due closer together than this are done in one step. */
 const DISPLACE_STEP_MS = 20;
 
+/** Full queues and idle spare hosts are looked at this often. */
+const OBSERVE_STEP_MS = 1_000;
+
 /** Creates the relief step of a cell. */
 export function createRelief(context: CellContext): Relief {
 	const { policy, waiting, grants, hosts, placement, scheduler, room } = context;
 	const moves = createHostMoves();
 	const displaceAt: number[] = [];
+	let displacedAt = -Infinity;
+	let observedAt = -Infinity;
 
 	const openHosts = (pools: readonly string[], now: number): readonly string[] =>
 		[...hosts.records()]
@@ -31,12 +36,14 @@
 			displaceAt.shift();
 		}
 		const { state } = context;
-		if (!policy.checkpoints || state === undefined || waiting.size === 0) {
+		if (!policy.checkpoints || state === undefined || waiting.size === 0 || now < displacedAt + DISPLACE_STEP_MS) {
 			return;
 		}
+		displacedAt = now;
 		const served = new Map<string, { readonly names: readonly string[]; pending: number }>();
 		for (const { request } of scheduler.urgentWithoutSlot(state, now - DISPLACE_AFTER_MS, now)) {
-			const pools = scheduler.fullQueues().get(request.queue) ?? [];
+			const queue = state.queues[request.queue];
+			const pools = queue === undefined ? [] : placement.poolsOf(queue);
 			const key = pools.join();
 			let group = served.get(key);
 			if (group === undefined) {
@@ -59,9 +66,10 @@
 
 	const moveHosts = (now: number, emit: Emit): void => {
 		const { state } = context;
-		if (!policy.hostMoves || state === undefined) {
+		if (!policy.hostMoves || state === undefined || now < observedAt + OBSERVE_STEP_MS) {
 			return;
 		}
+		observedAt = now;
 		const idle = new Map<string, string>();
 		for (const record of hosts.records()) {
 			const { name, pool } = record.host;
@@ -71,7 +79,7 @@
 				}
 			}
 		}
-		const move = moves.observe(scheduler.fullQueues(), idle, now);
+		const move = moves.observe(scheduler.fullQueues(state, now), idle, now);
 		if (move !== undefined) {
 			const { host, from, to, queue } = move;
 			emit({ type: 'move-host', host, from, to, reason: `queue ${queue} found no slot for 60 s` });
--- a/packages/dispatch/src/common/scheduler.ts
+++ b/packages/dispatch/src/common/scheduler.ts
@@ -1,4 +1,5 @@
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
+import type { PlacementRequest } from './dispatchMessages.js';
 import type { DispatchPolicy } from './dispatchPolicy.js';
 import type { FairCandidate, FairQueue } from './fairQueue.js';
 import type { GrantTable } from './grantTable.js';
@@ -11,12 +12,14 @@
 export interface Scheduler {
 	/** The request that goes next and has a place; `undefined` when nothing can start. */
 	next(state: FleetState, now: number, leaseUntil: number): WaitingRequest | undefined;
-	/** Queues whose work waits only for a slot, as the last call of `next` found, with their pools. */
-	fullQueues(): ReadonlyMap<string, readonly string[]>;
+	/** Queues in which work of a team below its limit waits for a slot, with the pools that they may use. */
+	fullQueues(state: FleetState, now: number): ReadonlyMap<string, readonly string[]>;
 	/** Work that counts against a team: what is known, and every slot of the hosts in doubt. */
 	countedFor(team: string, now: number): number;
 	/** Urgent requests that wait for a slot since before `since` and whose team may displace research. */
 	urgentWithoutSlot(state: FleetState, since: number, now: number): readonly WaitingRequest[];
+	/** Whether work of the queue and class would find a slot, as the last call of `next` found. */
+	hasPlace(state: FleetState, request: PlacementRequest): boolean;
 }
 
 /** What the scheduler looks at. */
@@ -37,8 +40,6 @@
 /** Creates the scheduler of one cell. */
 export function createScheduler(context: SchedulerContext): Scheduler {
 	const { policy, waiting, grants, hosts, takeover, placement, fair } = context;
-	let full = new Map<string, readonly string[]>();
-
 	const countedFor = (team: string, now: number): number => {
 		let count = grants.countOfTeam(team);
 		for (const host of takeover.inDoubt(now)) {
@@ -63,42 +64,56 @@
 		return undefined;
 	};
 
+	const hasPlace = (state: FleetState, request: PlacementRequest): boolean => {
+		const queue = state.queues[request.queue];
+		return queue !== undefined && placement.anyFree && placement.hasPlace(queue, request.class, request.kind);
+	};
+
+	/** The team's most pressing request that has a place; among queues the one that waits longest. */
+	const candidateOf = (state: FleetState, team: string): Candidate | undefined => {
+		for (const workClass of workClasses) {
+			let oldest: WaitingRequest | undefined;
+			for (const head of waiting.heads(team, workClass)) {
+				if ((oldest === undefined || head.enqueuedAt < oldest.enqueuedAt) && hasPlace(state, head.request)) {
+					oldest = head;
+				}
+			}
+			if (oldest !== undefined) {
+				return { team, urgent: workClass === 'urgent', head: oldest };
+			}
+		}
+		return undefined;
+	};
+
 	return {
 		countedFor,
-		fullQueues: () => full,
-		next: (state, now, leaseUntil) => {
-			full = new Map();
-			const places = new Map<string, boolean>();
-			const hasPlace = (head: WaitingRequest): boolean => {
-				const { request } = head;
-				const queue = state.queues[request.queue];
-				const key = `${request.class}/${request.kind}/${request.queue}`;
-				const known = places.get(key);
-				if (known !== undefined || queue === undefined) {
-					return known ?? false;
-				}
-				const found = placement.hasPlace(queue, request, now, leaseUntil);
-				places.set(key, found);
-				if (!found) {
-					full.set(request.queue, placement.poolsOf(queue));
+		hasPlace,
+		fullQueues: (state, now) => {
+			const full = new Map<string, readonly string[]>();
+			for (const team of waiting.teams()) {
+				const head = anyHead(team);
+				if (head === undefined || !underLimit(state, head, now)) {
+					continue;
 				}
-				return found;
-			};
-			/** The team's most pressing request that has a place; among queues the one that waits longest. */
-			const candidateOf = (team: string): Candidate | undefined => {
 				for (const workClass of workClasses) {
-					let oldest: WaitingRequest | undefined;
-					for (const head of waiting.heads(team, workClass)) {
-						if ((oldest === undefined || head.enqueuedAt < oldest.enqueuedAt) && hasPlace(head)) {
-							oldest = head;
+					for (const { request } of waiting.heads(team, workClass)) {
+						const queue = state.queues[request.queue];
+						if (queue !== undefined && !full.has(request.queue) && !hasPlace(state, request)) {
+							full.set(request.queue, placement.poolsOf(queue));
 						}
 					}
-					if (oldest !== undefined) {
-						return { team, urgent: workClass === 'urgent', head: oldest };
-					}
 				}
+			}
+			return full;
+		},
+		next: (state, now, leaseUntil) => {
+			if (waiting.size === 0) {
+				return undefined;
+			}
+			placement.survey(now, leaseUntil);
+			if (!placement.anyFree) {
 				return undefined;
-			};
+			}
 			const competing = new Set<string>();
 			const candidates: Candidate[] = [];
 			for (const team of waiting.teams()) {
@@ -107,7 +122,7 @@
 					continue;
 				}
 				competing.add(team);
-				const candidate = candidateOf(team);
+				const candidate = candidateOf(state, team);
 				if (candidate !== undefined) {
 					candidates.push(candidate);
 				}
@@ -122,13 +137,14 @@
 		urgentWithoutSlot: (state, since, now) => {
 			const result: WaitingRequest[] = [];
 			for (const team of waiting.teams()) {
-				if (fair.lead(team, now) > policy.urgentAdvanceMs) {
-					continue;
-				}
 				const limit = state.teams[team]?.limit ?? Infinity;
-				let counted = countedFor(team, now);
+				let counted: number | undefined;
 				for (const urgent of waiting.since(team, 'urgent', since)) {
-					if (counted < limit && full.has(urgent.request.queue)) {
+					counted ??= fair.lead(team, now) > policy.urgentAdvanceMs ? Infinity : countedFor(team, now);
+					if (counted >= limit) {
+						break;
+					}
+					if (!hasPlace(state, urgent.request)) {
 						result.push(urgent);
 						counted++;
 					}
--- a/packages/dispatch/src/common/waitingQueues.ts
+++ b/packages/dispatch/src/common/waitingQueues.ts
@@ -11,8 +11,15 @@
 
 /** The waiting requests of a cell: first in, first out per team, queue and class. */
 export interface WaitingQueues {
-	/** Adds a request. @returns false when the queue already holds `bound` requests */
-	add(waiting: WaitingRequest, bound: number): boolean;
+	/** Adds a request. */
+	add(waiting: WaitingRequest): void;
+	/**
+	 * The waiting request that gives way to a new one in a full queue: the newest of the team's own less pressing work,
+	 * or the newest of the team with the most requests in the queue. Without this rule the team that sends most would
+	 * fill the queue, and the fair queue would have nothing to choose from.
+	 * @returns `undefined` when the new request itself has to go
+	 */
+	givesWay(waiting: WaitingRequest): WaitingRequest | undefined;
 	find(requestId: string): WaitingRequest | undefined;
 	/** Removes a request in constant time. */
 	remove(requestId: string): WaitingRequest | undefined;
@@ -30,8 +37,6 @@
 	countOfTeam(team: string): number;
 	readonly size: number;
 	clear(): void;
-	/** Requests turned away by the bound. */
-	readonly turnedAway: number;
 }
 
 /** The classes from the most to the least pressing. */
@@ -44,11 +49,41 @@
 export function createWaitingQueues(): WaitingQueues {
 	const byId = new Map<string, WaitingRequest>();
 	const byTeam = new Map<string, { lines: TeamLines; count: number }>();
-	const countByQueue = new Map<string, number>();
-	let turnedAway = 0;
+	/** Counts by queue, then by team. */
+	const countByQueue = new Map<string, Map<string, number>>();
 	const createHeap = () => createDeadlineHeap<WaitingRequest>(item => byId.get(item.request.requestId) !== item);
 	let deadlines = createHeap();
 
+	const changeCount = (queue: string, team: string, change: number): void => {
+		const byTeamName = countByQueue.get(queue) ?? new Map<string, number>();
+		countByQueue.set(queue, byTeamName);
+		const count = (byTeamName.get(team) ?? 0) + change;
+		if (count === 0) {
+			byTeamName.delete(team);
+		} else {
+			byTeamName.set(team, count);
+		}
+	};
+
+	const countOfQueue = (queue: string): number => {
+		let total = 0;
+		for (const count of countByQueue.get(queue)?.values() ?? []) {
+			total += count;
+		}
+		return total;
+	};
+
+	/** The newest request of a team in a queue, least pressing class first. */
+	const newestOf = (team: string, queue: string, classes: readonly WorkClass[]): WaitingRequest | undefined => {
+		for (const workClass of classes.toReversed()) {
+			const line = byTeam.get(team)?.lines[workClass].get(queue);
+			if (line !== undefined) {
+				return [...line.values()].at(-1);
+			}
+		}
+		return undefined;
+	};
+
 	const remove = (requestId: string): WaitingRequest | undefined => {
 		const waiting = byId.get(requestId);
 		if (waiting === undefined) {
@@ -56,7 +91,7 @@
 		}
 		const { queue, class: workClass } = waiting.request;
 		byId.delete(requestId);
-		countByQueue.set(queue, (countByQueue.get(queue) ?? 1) - 1);
+		changeCount(queue, waiting.team, -1);
 		const team = byTeam.get(waiting.team);
 		if (team !== undefined) {
 			team.count--;
@@ -74,14 +109,22 @@
 	};
 
 	return {
-		add: (waiting, bound) => {
-			const { requestId, queue, class: workClass, deadline } = waiting.request;
-			const count = countByQueue.get(queue) ?? 0;
-			if (count >= bound) {
-				turnedAway++;
-				return false;
+		givesWay: ({ request, team }) => {
+			const own = newestOf(team, request.queue, workClasses.slice(workClasses.indexOf(request.class) + 1));
+			if (own !== undefined) {
+				return own;
+			}
+			const counts = countByQueue.get(request.queue) ?? new Map<string, number>();
+			let largest = '';
+			for (const [name, count] of counts) {
+				largest = count > (counts.get(largest) ?? 0) ? name : largest;
 			}
-			countByQueue.set(queue, count + 1);
+			const larger = (counts.get(largest) ?? 0) > (counts.get(team) ?? 0) + 1;
+			return larger ? newestOf(largest, request.queue, workClasses) : undefined;
+		},
+		add: waiting => {
+			const { requestId, queue, class: workClass, deadline } = waiting.request;
+			changeCount(queue, waiting.team, 1);
 			byId.set(requestId, waiting);
 			let team = byTeam.get(waiting.team);
 			if (team === undefined) {
@@ -96,7 +139,6 @@
 			}
 			line.set(requestId, waiting);
 			deadlines.push(deadline, waiting);
-			return true;
 		},
 		find: requestId => byId.get(requestId),
 		remove,
@@ -128,7 +170,7 @@
 			}
 		},
 		all: () => byId.values(),
-		countOfQueue: queue => countByQueue.get(queue) ?? 0,
+		countOfQueue,
 		countOfTeam: team => byTeam.get(team)?.count ?? 0,
 		get size() {
 			return byId.size;
@@ -139,8 +181,5 @@
 			countByQueue.clear();
 			deadlines = createHeap();
 		},
-		get turnedAway() {
-			return turnedAway;
-		},
 	};
 }
