--- a/packages/maintenance/src/common/hostProgress.ts
+++ b/packages/maintenance/src/common/hostProgress.ts
@@ -12,6 +12,8 @@
 	/** Step of the last command, and when it may be repeated. */
 	step: HostStep;
 	repeatAt: number;
+	/** The host is back and only its record is missing. */
+	isBack: boolean;
 }
 
 /** Time after which a command is sent again when the host's status does not show its effect. */
@@ -26,7 +28,7 @@
 
 /** Starts to follow a claimed host. */
 export function createHostProgress(deadlineAt: number): HostProgress {
-	return { deadlineAt, drainedBoot: undefined, step: 'wait', repeatAt: 0 };
+	return { deadlineAt, drainedBoot: undefined, step: 'wait', repeatAt: 0, isBack: false };
 }
 
 /**
--- a/packages/maintenance/src/common/waveClaims.ts
+++ b/packages/maintenance/src/common/waveClaims.ts
@@ -66,7 +66,9 @@
 		const candidates: ClaimCandidate[] = [];
 		for (const host of waiting) {
 			const condition = views.conditionOf(host.name, now);
-			if (isOnItsWay(host) || taken.has(host.name)) {
+			if (cellWaves.claimedHosts.has(host.name)) {
+				block('claimed-by-other-wave');
+			} else if (isPending(host.name) || taken.has(host.name)) {
 				block('claim-pending');
 			} else if (claimable.has(condition)) {
 				const running = views.answerOf(host.name, now)?.running ?? 0;
--- a/packages/maintenance/src/common/waveDriver.ts
+++ b/packages/maintenance/src/common/waveDriver.ts
@@ -38,15 +38,18 @@
 	const gate = createAppendGate(random);
 	const stops = createWaveStops();
 	const reader = createCellWavesReader(cell);
-	const progressByHost = new Map<string, HostProgress>();
+	const progressByClaim = new Map<string, HostProgress>();
 	const claimIdByHost = new Map<string, string>();
 	const refusedUntil = new Map<string, number>();
 	const explained = new Map<string, string>();
 	let state: FleetState | undefined;
 	let cellWaves: CellWaves | undefined;
 	let term: number | undefined;
+	let leadsUntil = 0;
 	let claimCount = 0;
 	let refusals: WaveEffect[] = [];
+	/** Waves with a record that waits for the log. */
+	const heldWaves = new Set<string>();
 	let lastDrained: string | undefined;
 	let lastNow = 0;
 
@@ -54,7 +57,7 @@
 		views.forget();
 		gate.forget();
 		stops.forget();
-		progressByHost.clear();
+		progressByClaim.clear();
 		claimIdByHost.clear();
 		refusals = [];
 		refusedUntil.clear();
@@ -82,19 +85,22 @@
 		const resumed = new Set(stops.takeResumed());
 		const driven = new Set<string>();
 		for (const { wave, claimed } of waves) {
+			// What the state shows need not be waited for.
+			gate.settle(wave.state === 'stopped' ? `wave-stopped/${wave.name}` : `wave-resumed/${wave.name}`);
 			for (const { name } of claimed) {
-				driven.add(name);
+				const key = progressKey(wave.name, name);
+				driven.add(key);
 				const deadlineAt = now + wave.returnWithinMs;
-				const known = progressByHost.get(name);
+				const known = progressByClaim.get(key);
 				if (known === undefined) {
-					progressByHost.set(name, createHostProgress(deadlineAt));
+					progressByClaim.set(key, createHostProgress(deadlineAt));
 				} else if (resumed.has(wave.name)) {
 					known.deadlineAt = deadlineAt;
 				}
 			}
 		}
-		for (const name of [...progressByHost.keys()].filter(known => !driven.has(known))) {
-			progressByHost.delete(name);
+		for (const name of [...progressByClaim.keys()].filter(known => !driven.has(known))) {
+			progressByClaim.delete(name);
 		}
 		for (const host of [...claimIdByHost.keys()].filter(name => claimedHosts.has(name))) {
 			claimIdByHost.delete(host);
@@ -122,6 +128,7 @@
 			return true;
 		},
 		leading: (message, now) => {
+			leadsUntil = message.until;
 			if (term !== message.term) {
 				forget();
 				term = message.term;
@@ -148,8 +155,8 @@
 			views.takeBack(message.host);
 			return true;
 		},
-		'host-status': (message, now) => {
-			views.takeStatus(message.status, now);
+		'host-status': message => {
+			views.takeStatus(message.status);
 			return true;
 		},
 		'claim-verdict': (message, now) => {
@@ -164,8 +171,16 @@
 		tick: () => true,
 	};
 
-	const driveHost = (currentTerm: number, wave: string, host: Host, now: number): readonly WaveEffect[] => {
-		const progress = progressByHost.get(host.name);
+	const tryAppend = (wave: string, key: string, now: number): boolean => {
+		const mayAppend = gate.tryTake(key, now);
+		if (!mayAppend && gate.isOutage) {
+			heldWaves.add(wave);
+		}
+		return mayAppend;
+	};
+
+	const driveHost = (wave: string, host: Host, now: number): readonly WaveEffect[] => {
+		const progress = progressByClaim.get(progressKey(wave, host.name));
 		if (progress === undefined) {
 			return [];
 		}
@@ -174,38 +189,39 @@
 			progress.drainedBoot ??= answer.boot;
 		}
 		const step = nextHostStep(progress, answer, views.isListedLive(host.name));
+		progress.isBack = step === 'record-return';
 		if (answer === undefined || step === 'wait' || (step === progress.step && now < progress.repeatAt)) {
 			return [];
 		}
 		progress.step = step;
 		progress.repeatAt = now + repeatAfterMs[step];
-		const command: HostCommand = { host: host.name, address: host.address, term: currentTerm, boot: answer.boot };
+		const command: HostCommand = { host: host.name, address: host.address, boot: answer.boot };
 		const effects: Readonly<Record<HostStep, () => readonly WaveEffect[]>> = {
 			wait: () => [],
 			drain: () => [{ type: 'drain-host', ...command }],
 			reboot: () => [{ type: 'reboot-host', ...command }],
 			resume: () => [{ type: 'resume-host', ...command }],
 			'record-return': () =>
-				gate.tryTake(`host-returned/${wave}/${host.name}`, now)
+				tryAppend(wave, `host-returned/${wave}/${host.name}`, now)
 					? [{ type: 'append', record: { type: 'host-returned', version: 1, wave, host: host.name } }]
 					: [],
 		};
 		return effects[step]();
 	};
 
-	const overdueHosts = ({ claimed }: CellWave, now: number): readonly string[] =>
+	const overdueHosts = ({ wave, claimed }: CellWave, now: number): readonly string[] =>
 		claimed
 			.map(host => host.name)
 			.filter(name => {
-				const progress = progressByHost.get(name);
+				const progress = progressByClaim.get(progressKey(wave.name, name));
 				// A host that is back and only waits for its record is not overdue, however long the log is out.
-				return progress !== undefined && now >= progress.deadlineAt && progress.step !== 'record-return';
+				return progress !== undefined && now >= progress.deadlineAt && !progress.isBack;
 			});
 
 	const changeWave = (cellWave: CellWave, current: FleetState, now: number): readonly WaveEffect[] => {
 		const change = stops.changeOf(cellWave, current, overdueHosts(cellWave, now));
 		const wave = cellWave.wave.name;
-		return change !== undefined && gate.tryTake(`${change.type}/${wave}`, now)
+		return change !== undefined && tryAppend(wave, `${change.type}/${wave}`, now)
 			? [{ type: 'append', record: { version: 1, wave, ...change } }]
 			: [];
 	};
@@ -221,7 +237,7 @@
 		for (const { wave, host, unavailable } of plan.claims) {
 			const pool = current.hosts[host]?.pool ?? '';
 			const isStopping = gate.isPending(`wave-stopped/${wave}`, now);
-			if (!isStopping && now >= (refusedUntil.get(pool) ?? now) && gate.tryTake(claimKey(host), now)) {
+			if (!isStopping && now >= (refusedUntil.get(pool) ?? now) && tryAppend(wave, claimKey(host), now)) {
 				claimCount++;
 				const claimId = `${cell}-${currentTerm}-${claimCount}`;
 				claimIdByHost.set(host, claimId);
@@ -235,7 +251,8 @@
 				cellWave,
 				plan.waitingFor.get(name) ?? {},
 				overdueHosts(cellWave, now),
-				gate.isOutage,
+				// A running wave also waits when a record of another wave is held back: nothing can be claimed.
+				heldWaves.has(name) || (heldWaves.size > 0 && cellWave.wave.state === 'running'),
 			);
 			if (explained.get(name) !== standing.reason) {
 				explained.set(name, standing.reason);
@@ -257,17 +274,16 @@
 
 	const decide = (now: number): readonly WaveEffect[] => {
 		const [current, waves, currentTerm] = [state, cellWaves, term];
-		if (current === undefined || waves === undefined || currentTerm === undefined) {
+		if (current === undefined || waves === undefined || currentTerm === undefined || now >= leadsUntil) {
 			return [];
 		}
 		const refused = refusals;
 		refusals = [];
+		heldWaves.clear();
 		return [
 			...refused,
 			...drainedList(waves),
-			...waves.waves.flatMap(({ wave, claimed }) =>
-				claimed.flatMap(host => driveHost(currentTerm, wave.name, host, now)),
-			),
+			...waves.waves.flatMap(({ wave, claimed }) => claimed.flatMap(host => driveHost(wave.name, host, now))),
 			...waves.waves.flatMap(cellWave => changeWave(cellWave, current, now)),
 			...claimHosts(current, waves, currentTerm, now),
 		];
@@ -284,7 +300,7 @@
 			if (term === undefined || cellWaves === undefined) {
 				return undefined;
 			}
-			const times = [...progressByHost.values()].flatMap(progress => [progress.deadlineAt, progress.repeatAt]);
+			const times = [...progressByClaim.values()].flatMap(progress => [progress.deadlineAt, progress.repeatAt]);
 			const later = [...times, ...refusedUntil.values(), gate.nextAt(lastNow) ?? 0].filter(
 				time => time > lastNow && Number.isFinite(time),
 			);
@@ -293,6 +309,10 @@
 	};
 }
 
+function progressKey(wave: string, host: string): string {
+	return `${wave}/${host}`;
+}
+
 function claimKey(host: string): string {
 	return `wave-claim/${host}`;
 }
--- a/packages/maintenance/src/common/waveMessages.ts
+++ b/packages/maintenance/src/common/waveMessages.ts
@@ -12,6 +12,8 @@
 	/** Number of tasks that run on the host. */
 	readonly running: number;
 	readonly draining: boolean;
+	/** When the question was sent: an answer that a paused daemon reads late is as old as its question. */
+	readonly requestedAt: number;
 }
 
 /** Messages to the wave driver of one cell. Every time is on the leader's monotonic clock. */
@@ -19,7 +21,7 @@
 	/** The state after each record that the daemon has folded. */
 	| { readonly type: 'configuration'; readonly state: FleetState }
 	/** The lease of the cell was gained, with its term, or renewed under the same term. */
-	| { readonly type: 'leading'; readonly term: number }
+	| { readonly type: 'leading'; readonly term: number; readonly until: number }
 	| { readonly type: 'not-leading' }
 	| { readonly type: 'host-list'; readonly hosts: Readonly<Record<string, ListedHostState>> }
 	| { readonly type: 'host-set-aside'; readonly host: string }
@@ -39,13 +41,12 @@
 	| { readonly type: 'tick' };
 
 /**
- * A command to one host. The host refuses a command with a lower term than one it has seen, and a command for
- * another boot, so a leader that was paused cannot reboot a host that has returned meanwhile.
+ * A command to one host. The host refuses a command for another boot, so a late command cannot reboot a host that has
+ * returned meanwhile.
  */
 export interface HostCommand {
 	readonly host: string;
 	readonly address: string;
-	readonly term: number;
 	readonly boot: string;
 }
 
