Wire request keys and long jobs into the cell leader

Cause: requests that may not be repeated and long jobs were refused. Change: the leader follows the work stream of its cell, records starts before it grants, drives long jobs, and hands end-of-request reports to the recorder. The wave task uses the driver's present messages.

--- a/packages/daemon/src/common/peerProtocol.ts
+++ b/packages/daemon/src/common/peerProtocol.ts
@@ -73,7 +73,10 @@
 	'control.read': { parameters: { from: number }; result: { records: readonly LogRecord[] } };
 	'control.snapshot': { parameters: object; result: { snapshot?: string | undefined } };
 	'work.request': { parameters: WorkRequest; result: WorkResponse };
-	'work.cancel': { parameters: { cell: string; requestId: string }; result: object };
+	'work.cancel': {
+		parameters: { cell: string; requestId: string; onlyOnce?: OnlyOnce | undefined };
+		result: object;
+	};
 	'work.finish': {
 		parameters: { cell: string; attempts: readonly FinishedAttempt[] };
 		result: { acknowledged: readonly string[] };
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -71,6 +71,7 @@
 	const state = (): FleetState => controlState.current();
 	const freshness = createViewFreshness({ offset: -1 });
 	const common = { clock, random, counters, logger };
+	const retentionMs = settings.platform.logRetentionHours * HOUR_MS;
 	let isStopping = false;
 
 	const calls = createCellCalls({
@@ -88,7 +89,7 @@
 		client,
 		freshness,
 		settingsPeers: settings.peers,
-		retentionMs: settings.platform.logRetentionHours * HOUR_MS,
+		retentionMs,
 		isSnapshotWriter: () => leaders.leadsFirstCell(),
 	});
 	const membership = createMembershipTask({
--- a/packages/daemon/src/node/entry/placement.ts
+++ b/packages/daemon/src/node/entry/placement.ts
@@ -38,8 +38,8 @@
 	};
 
 	const cancel = (question: PlacementQuestion): void => {
-		const { cell, requestId } = question;
-		calls.toLeader(cell, 'work.cancel', { cell, requestId }).catch(() => {
+		const { cell, onlyOnce, requestId } = question;
+		calls.toLeader(cell, 'work.cancel', { cell, requestId, onlyOnce }).catch(() => {
 			// The leader drops the request at its deadline.
 		});
 	};
--- a/packages/daemon/src/node/leader/cellLeader.ts
+++ b/packages/daemon/src/node/leader/cellLeader.ts
@@ -1,5 +1,6 @@
 import { errorAnswers } from '@chestnutwheel/base/common/errorKinds.js';
 import type { ControlChange } from '../control/controlState.js';
+import type { HostStatus } from '@chestnutwheel/maintenance/common/waveMessages.js';
 import type { HostList } from '@chestnutwheel/platform/common/hostList.js';
 import type { HeldLease } from '@chestnutwheel/membership/common/leaseHolder.js';
 import type { PlacementRequest } from '@chestnutwheel/dispatch/common/dispatchMessages.js';
@@ -7,12 +8,13 @@
 	WAIT_SLICE_MS,
 	type FinishedAttempt,
 	type JobView,
+	type OnlyOnce,
 	type WorkRequest,
 	type WorkResponse,
 } from '../../common/peerProtocol.js';
 import { createDispatchTask, type DispatchTask, type DispatchTaskOptions } from './dispatchTask.js';
 import { createWaveTask, type WaveTask, type WaveTaskOptions } from './waveTask.js';
-import { createWorkTask, type WorkTask, type WorkTaskOptions } from './workTask.js';
+import { createWorkTask, type WorkTask, type WorkTaskOptions } from './work/workTask.js';
 
 /** What a daemon does for one cell while it leads it. Without the lease it refuses everything as `no-leader`. */
 export interface CellLeader {
@@ -21,7 +23,8 @@
 	configurationChanged(change: ControlChange): void;
 	hostListChanged(list: HostList): void;
 	request(request: WorkRequest): Promise<WorkResponse>;
-	cancel(requestId: string): void;
+	/** @param onlyOnce present when the whole request is given up and may not be repeated */
+	cancel(requestId: string, onlyOnce: OnlyOnce | undefined): void;
 	/** @returns the ids of the attempts that need not be reported again */
 	finish(attempts: readonly FinishedAttempt[]): readonly string[];
 	readonly work: WorkTask;
@@ -45,21 +48,25 @@
 	const { clock, lease } = options;
 	const boots = new Map<string, string>();
 
-	const hostStatus = (host: string, boot: string, running: number, draining: boolean, reachable: boolean): void =>
-		waves.send({ type: 'host-status', status: { host, reachable, boot, running, draining } });
+	const hostStatus = (status: HostStatus): void => waves.send({ type: 'host-status', status });
 
 	const dispatch: DispatchTask = createDispatchTask(
 		{
 			...options,
 			hooks: {
-				workerAnswered: (host, status) => {
+				workerAnswered: (host, status, requestedAt) => {
 					boots.set(host, status.boot);
-					hostStatus(host, status.boot, status.running.length, status.draining, true);
+					const { boot, draining, running } = status;
+					hostStatus({ host, reachable: true, boot, running: running.length, draining, requestedAt });
 					work.workerAnswered(host, status);
 				},
-				workerSilent: host => hostStatus(host, boots.get(host) ?? '', 0, false, false),
-				checkpointJob: (grantId, reason) => work.checkpoint(grantId, reason),
-				stopTask: (grantId, host) => work.stop(grantId, host),
+				workerSilent: (host, requestedAt) => {
+					const boot = boots.get(host) ?? '';
+					hostStatus({ host, reachable: false, boot, running: 0, draining: false, requestedAt });
+				},
+				checkpointJob: grantId => work.checkpoint(grantId),
+				// A request ends at its worker by its lease; the protocol has no way to stop it earlier.
+				stopTask: () => options.counters.add('stops_not_sent_total'),
 				setAside: (host, isSetAside) => waves.send({ type: isSetAside ? 'host-set-aside' : 'host-taken-back', host }),
 				moveHost: (host, from, to) => {
 					const record = {
@@ -81,7 +88,7 @@
 		{
 			...options,
 			drainedHosts: hosts => dispatch.send({ type: 'drained-hosts', hosts }),
-			isLeading: term => lease()?.term === term,
+			isLeading: () => lease() !== undefined,
 		},
 		signal,
 	);
@@ -117,8 +124,8 @@
 				return;
 			}
 			dispatch.send({ type: 'lease-held', term: held.term, until: held.until });
-			waves.send({ type: 'leading', term: held.term });
-			work.leading(held.term);
+			waves.send({ type: 'leading', term: held.term, until: held.until });
+			work.leading(held);
 		},
 		configurationChanged: ({ state, verdicts }) => {
 			dispatch.send({ type: 'configuration', state });
@@ -140,7 +147,7 @@
 			const waitUntil = clock.now() + WAIT_SLICE_MS;
 			const deadline = clock.now() + request.remainingMs;
 			if (request.onlyOnce !== undefined) {
-				const refusal = await work.recordStart(request, request.onlyOnce, deadline, waitUntil);
+				const refusal = await work.starts.record(request.team ?? '', request.onlyOnce, deadline, waitUntil);
 				if (refusal !== undefined) {
 					return refusal;
 				}
@@ -151,11 +158,16 @@
 				request.onlyOnce !== undefined &&
 				errorAnswers[response.kind].outcome === 'not-run'
 			) {
-				work.startRefused(request, request.onlyOnce);
+				work.starts.ended(request.onlyOnce, 'not-run');
 			}
 			return response;
 		},
-		cancel: requestId => dispatch.send({ type: 'cancel', requestId }),
+		cancel: (requestId, onlyOnce) => {
+			dispatch.cancel(requestId);
+			if (onlyOnce !== undefined) {
+				work.starts.withdraw(onlyOnce);
+			}
+		},
 		finish: attempts => {
 			if (lease() === undefined) {
 				return [];
--- a/packages/daemon/src/node/leader/cellLeaders.ts
+++ b/packages/daemon/src/node/leader/cellLeaders.ts
@@ -3,6 +3,7 @@
 import type { SeededRandom } from '@chestnutwheel/base/common/seededRandom.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { ControlRecord } from '@chestnutwheel/configuration/common/controlRecord.js';
+import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { HostList } from '@chestnutwheel/platform/common/hostList.js';
 import type { LogClient } from '@chestnutwheel/platform/common/logProtocol.js';
 import type { WorkerClient } from '@chestnutwheel/platform/common/workerClient.js';
@@ -29,6 +30,8 @@
 	readonly workers: WorkerClient;
 	readonly calls: CellCalls;
 	readonly log: LogClient;
+	readonly retentionMs: number;
+	readonly state: () => FleetState;
 	readonly append: (record: ControlRecord) => Promise<unknown>;
 	readonly membership: MembershipTask;
 	readonly control: ControlState;
--- a/packages/daemon/src/node/leader/dispatchTask.ts
+++ b/packages/daemon/src/node/leader/dispatchTask.ts
@@ -25,14 +25,18 @@
 	 * @returns `waiting` when there was no decision by then
 	 */
 	ask(request: PlacementRequest, waitUntil: number): Promise<WorkResponse>;
+	/** Asks for a grant for a job, however long it takes; `decided` is called once unless the request is cancelled. */
+	place(request: PlacementRequest, decided: (response: WorkResponse) => void): void;
+	/** Drops a request that has no grant yet. */
+	cancel(requestId: string): void;
 	finished(grantId: string, outcome: AttemptOutcome): void;
 	overview(): DispatchOverview;
 }
 
 /** What the rest of the leader does for the dispatcher. */
 export interface DispatchTaskHooks {
-	readonly workerAnswered: (host: string, status: WorkerStatus) => void;
-	readonly workerSilent: (host: string) => void;
+	readonly workerAnswered: (host: string, status: WorkerStatus, requestedAt: number) => void;
+	readonly workerSilent: (host: string, requestedAt: number) => void;
 	readonly checkpointJob: (grantId: string, reason: string) => void;
 	readonly stopTask: (grantId: string, host: string) => void;
 	readonly setAside: (host: string, isSetAside: boolean) => void;
@@ -78,12 +82,12 @@
 			const status = await question();
 			options.observeTerm(status.terms[cell] ?? 0);
 			send({ type: 'worker-status', host, status, requestedAt });
-			hooks.workerAnswered(host, status);
+			hooks.workerAnswered(host, status, requestedAt);
 		} catch (error) {
 			counters.add('worker_questions_failed_total', { cell });
 			logger.debug({ host, reason: messageOf(error) }, 'the worker did not answer');
 			send({ type: 'worker-unreachable', host });
-			hooks.workerSilent(host);
+			hooks.workerSilent(host, requestedAt);
 		}
 	};
 
@@ -184,6 +188,18 @@
 				waiters.set(requestId, finish);
 				send({ type: 'request', request });
 			}),
+		place: (request, decided) => {
+			const { requestId } = request;
+			waiters.set(requestId, response => {
+				waiters.delete(requestId);
+				decided(response);
+			});
+			send({ type: 'request', request });
+		},
+		cancel: requestId => {
+			waiters.delete(requestId);
+			send({ type: 'cancel', requestId });
+		},
 		finished: (grantId, outcome) => send({ type: 'finished', grantId, outcome }),
 		overview: () => dispatcher.overview(clock.now()),
 	};
--- a/packages/daemon/src/node/leader/waveTask.ts
+++ b/packages/daemon/src/node/leader/waveTask.ts
@@ -26,7 +26,7 @@
 	readonly drainedHosts: (hosts: readonly string[]) => void;
 	readonly explain: (subject: string, reason: string, details: Readonly<Record<string, string | number>>) => void;
 	/** Whether this daemon still leads; checked again right before a command to a host. */
-	readonly isLeading: (term: number) => boolean;
+	readonly isLeading: () => boolean;
 }
 
 type EffectHandlers = {
@@ -59,13 +59,11 @@
 		}
 	};
 
-	const command = async (
-		name: 'drain' | 'resume' | 'reboot',
-		{ host, address, boot, term }: HostCommand,
-	): Promise<void> => {
-		if (!options.isLeading(term)) {
+	const command = async (name: 'drain' | 'resume' | 'reboot', { host, address, boot }: HostCommand): Promise<void> => {
+		if (!options.isLeading()) {
 			return;
 		}
+		const requestedAt = clock.now();
 		try {
 			const answer = await workers[name](address, boot, signal);
 			counters.add('host_commands_total', { command: name, answer: answer.type });
@@ -74,7 +72,7 @@
 				const running = status.running.length;
 				send({
 					type: 'host-status',
-					status: { host, reachable: true, boot: status.boot, running, draining: status.draining },
+					status: { host, reachable: true, boot: status.boot, running, draining: status.draining, requestedAt },
 				});
 			}
 		} catch (error) {
--- a/packages/daemon/src/node/peers/peerHandlers.ts
+++ b/packages/daemon/src/node/peers/peerHandlers.ts
@@ -52,8 +52,8 @@
 				kind: 'no-leader',
 				reason: 'this daemon knows no such cell',
 			},
-		'work.cancel': ({ cell, requestId }) => {
-			leaders.of(cell)?.cancel(requestId);
+		'work.cancel': ({ cell, requestId, onlyOnce }) => {
+			leaders.of(cell)?.cancel(requestId, onlyOnce);
 			return {};
 		},
 		'work.finish': ({ cell, attempts }) => ({ acknowledged: leaders.of(cell)?.finish(attempts) ?? [] }),
