--- a/packages/work/src/common/workMessages.ts
+++ b/packages/work/src/common/workMessages.ts
@@ -62,7 +62,10 @@
 	readonly rack: string;
 }
 
-/** State of a job's task as its worker reports it. */
+/**
+ * State of a job's task as its worker reports it. `stopped` with a checkpoint means that the checkpoint was taken at the
+ * stop, so that nothing ran after it.
+ */
 export type TaskState = 'running' | 'finished' | 'failed' | 'stopped' | 'lease-lapsed' | 'not-known';
 
 /** Messages to the job controller. */
@@ -91,6 +94,7 @@
 	| { readonly type: 'task-unreachable'; readonly taskId: string }
 	/** Job tasks that run on a worker, from its answer to the fence of this term or to a later poll. */
 	| { readonly type: 'worker-tasks'; readonly host: string; readonly taskIds: readonly string[] }
+	| { readonly type: 'snapshot-ended'; readonly result: AppendResult }
 	/** The scheduler wants the slot: the task is to be checkpointed and stopped. */
 	| { readonly type: 'preempt-task'; readonly taskId: string };
 
