--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -108,6 +108,8 @@
 			workers,
 			calls,
 			log,
+			retentionMs,
+			state,
 			append,
 			membership,
 			control: controlState,
