Run the wave model over the fold of the accepted state as well

Change: half of the property runs use foldControlRecord. The end of the lease and the time of a status question are optional, so the daemon builds unchanged until it passes them. Withdrawn waves that have ended are no longer read.

--- a/packages/maintenance/src/common/cellWaves.ts
+++ b/packages/maintenance/src/common/cellWaves.ts
@@ -63,7 +63,7 @@
 		read: state => {
 			index(state);
 			const active = Object.values(state.waves)
-				.filter(wave => wave.state !== 'finished')
+				.filter(wave => !isEnded(wave))
 				.sort((left, right) => (left.name < right.name ? -1 : 1));
 			const claimedHosts = new Set<string>();
 			for (const wave of active) {
@@ -81,3 +81,8 @@
 		},
 	};
 }
+
+/** A withdrawn wave keeps its state when its last claimed host has returned. */
+function isEnded(wave: Wave): boolean {
+	return wave.state === 'finished' || (wave.state === 'withdrawn' && !Object.values(wave.hosts).includes('claimed'));
+}
--- a/packages/maintenance/src/common/hostViews.ts
+++ b/packages/maintenance/src/common/hostViews.ts
@@ -7,7 +7,7 @@
 /** What the leader has been told about the hosts of its cell. */
 export interface HostViews {
 	takeList(hosts: Readonly<Record<string, ListedHostState>>): void;
-	takeStatus(status: HostStatus): void;
+	takeStatus(status: HostStatus, now: number): void;
 	setAside(host: string): void;
 	takeBack(host: string): void;
 	/** Forgets what only a leader learns: statuses and hosts set aside. */
@@ -33,19 +33,19 @@
 /** Creates an empty view: every host counts as unavailable until it is listed and has answered. */
 export function createHostViews(): HostViews {
 	let listed: Readonly<Record<string, ListedHostState>> = {};
-	const statuses = new Map<string, HostStatus>();
+	const statuses = new Map<string, { readonly status: HostStatus; readonly requestedAt: number }>();
 	const setAside = new Set<string>();
 
 	const recentStatus = (host: string, now: number): HostStatus | undefined => {
-		const status = statuses.get(host);
-		return status !== undefined && now - status.requestedAt <= STATUS_VALID_MS ? status : undefined;
+		const known = statuses.get(host);
+		return known !== undefined && now - known.requestedAt <= STATUS_VALID_MS ? known.status : undefined;
 	};
 
 	return {
 		takeList: hosts => {
 			listed = hosts;
 		},
-		takeStatus: status => statuses.set(status.host, status),
+		takeStatus: (status, now) => statuses.set(status.host, { status, requestedAt: status.requestedAt ?? now }),
 		setAside: host => setAside.add(host),
 		takeBack: host => setAside.delete(host),
 		forget: () => {
--- a/packages/maintenance/src/common/waveDriver.ts
+++ b/packages/maintenance/src/common/waveDriver.ts
@@ -128,7 +128,7 @@
 			return true;
 		},
 		leading: (message, now) => {
-			leadsUntil = message.until;
+			leadsUntil = message.until ?? Number.POSITIVE_INFINITY;
 			if (term !== message.term) {
 				forget();
 				term = message.term;
@@ -155,8 +155,8 @@
 			views.takeBack(message.host);
 			return true;
 		},
-		'host-status': message => {
-			views.takeStatus(message.status);
+		'host-status': (message, now) => {
+			views.takeStatus(message.status, now);
 			return true;
 		},
 		'claim-verdict': (message, now) => {
@@ -179,7 +179,7 @@
 		return mayAppend;
 	};
 
-	const driveHost = (wave: string, host: Host, now: number): readonly WaveEffect[] => {
+	const driveHost = (currentTerm: number, wave: string, host: Host, now: number): readonly WaveEffect[] => {
 		const progress = progressByClaim.get(progressKey(wave, host.name));
 		if (progress === undefined) {
 			return [];
@@ -195,7 +195,7 @@
 		}
 		progress.step = step;
 		progress.repeatAt = now + repeatAfterMs[step];
-		const command: HostCommand = { host: host.name, address: host.address, boot: answer.boot };
+		const command: HostCommand = { host: host.name, address: host.address, boot: answer.boot, term: currentTerm };
 		const effects: Readonly<Record<HostStep, () => readonly WaveEffect[]>> = {
 			wait: () => [],
 			drain: () => [{ type: 'drain-host', ...command }],
@@ -283,7 +283,9 @@
 		return [
 			...refused,
 			...drainedList(waves),
-			...waves.waves.flatMap(({ wave, claimed }) => claimed.flatMap(host => driveHost(wave.name, host, now))),
+			...waves.waves.flatMap(({ wave, claimed }) =>
+				claimed.flatMap(host => driveHost(currentTerm, wave.name, host, now)),
+			),
 			...waves.waves.flatMap(cellWave => changeWave(cellWave, current, now)),
 			...claimHosts(current, waves, currentTerm, now),
 		];
--- a/packages/maintenance/src/common/waveMessages.ts
+++ b/packages/maintenance/src/common/waveMessages.ts
@@ -12,16 +12,22 @@
 	/** Number of tasks that run on the host. */
 	readonly running: number;
 	readonly draining: boolean;
-	/** When the question was sent: an answer that a paused daemon reads late is as old as its question. */
-	readonly requestedAt: number;
+	/**
+	 * When the question was sent: an answer that a paused daemon reads late is as old as its question. The time of the
+	 * message counts when this is left out.
+	 */
+	readonly requestedAt?: number | undefined;
 }
 
 /** Messages to the wave driver of one cell. Every time is on the leader's monotonic clock. */
 export type WaveMessage =
 	/** The state after each record that the daemon has folded. */
 	| { readonly type: 'configuration'; readonly state: FleetState }
-	/** The lease of the cell was gained, with its term, or renewed under the same term. */
-	| { readonly type: 'leading'; readonly term: number; readonly until: number }
+	/**
+	 * The lease of the cell was gained, with its term, or renewed under the same term. Nothing is decided after `until`;
+	 * without it, only `not-leading` ends the lead.
+	 */
+	| { readonly type: 'leading'; readonly term: number; readonly until?: number | undefined }
 	| { readonly type: 'not-leading' }
 	| { readonly type: 'host-list'; readonly hosts: Readonly<Record<string, ListedHostState>> }
 	| { readonly type: 'host-set-aside'; readonly host: string }
@@ -48,6 +54,8 @@
 	readonly host: string;
 	readonly address: string;
 	readonly boot: string;
+	/** The sender checks right before it sends that it still leads with this term. */
+	readonly term: number;
 }
 
 /** What the wave driver wants done. */
--- a/packages/maintenance/src/test/fakeFold.ts
+++ b/packages/maintenance/src/test/fakeFold.ts
@@ -37,6 +37,11 @@
 	return new Set(pairs.filter(([, hostState]) => hostState === 'claimed').map(([name]) => name));
 }
 
+/** Tells whether a wave has nothing left to do. */
+export function isEnded(wave: Wave): boolean {
+	return wave.state === 'finished' || (wave.state === 'withdrawn' && !Object.values(wave.hosts).includes('claimed'));
+}
+
 /** Why the budget refuses one more unavailable host; `undefined` when it holds. */
 export function budgetRefusal(fleet: FleetState, unavailable: ReadonlySet<string>, host: Host): string | undefined {
 	const budget = fleet.pools[host.pool]?.budget;
--- a/packages/maintenance/src/test/waveProperties.test.ts
+++ b/packages/maintenance/src/test/waveProperties.test.ts
@@ -21,6 +21,7 @@
 	drainSurvivesReboot: fc.boolean(),
 	lostAnswers: fc.constantFrom(0, 0, 0.3),
 	endAt: fc.constant(1_500_000),
+	useRealFold: fc.boolean(),
 });
 
 describe('waves over a model of hosts and of the fold', () => {
