Check counts on the command line and answer wrong usage as JSON

Cause: a wait that is no number was taken for no wait, and scripts that ask for JSON got no JSON for wrong usage. Change: counts are checked as usage errors; the form of the output is known before parsing; an unused count of plans is gone.

--- a/packages/cli/src/node/command.ts
+++ b/packages/cli/src/node/command.ts
@@ -1,3 +1,4 @@
+import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import type { Options, PositionalOptions } from 'yargs';
 import type { HeadStyle } from '../common/textTable.js';
 import type { OperatorClient } from '../common/operatorProtocol.js';
@@ -55,3 +56,12 @@
 	const text = textArgument(given, name);
 	return text === '' ? undefined : text;
 }
+
+/** The whole number of an option. @throws `usage` when it is not one or is negative */
+export function countArgument(given: CommandArguments, name: string): number {
+	const value = given[name];
+	if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < 0) {
+		throw kindError('usage', `--${name}: found ${String(value)}, allowed: a whole number of at least 0`);
+	}
+	return value;
+}
--- a/packages/cli/src/node/commandLine.ts
+++ b/packages/cli/src/node/commandLine.ts
@@ -35,7 +35,8 @@
 ): Promise<number> {
 	let chosen: Chosen | undefined;
 	let printed = '';
-	let isJson = false;
+	// Read before parsing, so that wrong usage is also answered as JSON.
+	const isJson = commandLine.includes('--output=json') || commandLine[commandLine.indexOf('--output') + 1] === 'json';
 	try {
 		const parser = createParser(surroundings.environment, (command, given) => {
 			chosen = { command, given };
@@ -47,7 +48,6 @@
 			surroundings.write(printed === '' ? '' : `${printed}\n`);
 			return 0;
 		}
-		isJson = chosen.given.output === 'json';
 		const result = await runCommand(chosen, surroundings, isJson);
 		surroundings.write(isJson ? `${JSON.stringify(result.data, undefined, 2)}\n` : `${result.text}\n`);
 		return result.exitCode ?? 0;
--- a/packages/cli/src/node/commands/noteHistory.ts
+++ b/packages/cli/src/node/commands/noteHistory.ts
@@ -1,5 +1,5 @@
 import { textTable } from '../../common/textTable.js';
-import type { Command } from '../command.js';
+import { countArgument, type Command } from '../command.js';
 
 /** Lists the remembered notes, oldest first. */
 export const noteHistory: Command = {
@@ -8,7 +8,9 @@
 	options: { last: { type: 'number', default: 50, describe: 'How many of the latest notes to list' } },
 	examples: [['note history --last 10', 'the last ten notes']],
 	run: async (context, given) => {
-		const verdicts = (await context.client().notes()).verdicts.slice(-Number(given.last ?? 50));
+		const last = countArgument(given, 'last');
+		const all = (await context.client().notes()).verdicts;
+		const verdicts = all.slice(Math.max(0, all.length - last));
 		const rows = verdicts.map(({ offset, id, author, accepted, refusal, touched }) => [
 			offset,
 			id,
--- a/packages/cli/src/node/commands/noteSubmit.ts
+++ b/packages/cli/src/node/commands/noteSubmit.ts
@@ -3,7 +3,7 @@
 import type { NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
 import { loadReleaseNote } from '@chestnutwheel/configuration/node/loadReleaseNote.js';
 import type { EntryHostProgress, OperatorClient } from '../../common/operatorProtocol.js';
-import { textArgument, type Command, type CommandContext } from '../command.js';
+import { countArgument, textArgument, type Command, type CommandContext } from '../command.js';
 
 /** Time between two questions whether the note is in force. */
 const POLL_MS = 250;
@@ -22,6 +22,7 @@
 	],
 	run: async (context, given) => {
 		const file = textArgument(given, 'file');
+		const waitMs = countArgument(given, 'wait-ms');
 		const note = await loadReleaseNote(file);
 		const client = context.client();
 		const verdict = await submit(client, note, file);
@@ -30,7 +31,6 @@
 			throw kindError(kind, reason);
 		}
 		context.progress(`accepted at offset ${verdict.offset}`);
-		const waitMs = Number(given['wait-ms'] ?? 0);
 		const entryHosts = waitMs > 0 ? await waitInForce(context, client, verdict.offset, waitMs) : [];
 		return {
 			data: { verdict, entryHosts },
--- a/packages/cli/src/node/operatorClient.ts
+++ b/packages/cli/src/node/operatorClient.ts
@@ -2,7 +2,7 @@
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
-import type { OperatorClient } from '../common/operatorProtocol.js';
+import type { OperatorClient, SubmitAnswer } from '../common/operatorProtocol.js';
 
 /** Settings of {@link createOperatorClient}. */
 export interface OperatorClientSettings {
@@ -95,7 +95,7 @@
 	const get = async <Answer>(name: CallName, path: string): Promise<Answer> => (await call(name, path)) as Answer;
 
 	return {
-		submitNote: async note => (await call('submit', '/operator/notes', note)) as { verdict: never },
+		submitNote: async note => (await call('submit', '/operator/notes', note)) as SubmitAnswer,
 		notes: () => get('notes', '/operator/notes'),
 		note: id => get('note', `/operator/notes/${encodeURIComponent(id)}`),
 		state: () => get('state', '/operator/state'),
--- a/packages/cli/src/test/commandLine.test.ts
+++ b/packages/cli/src/test/commandLine.test.ts
@@ -262,6 +262,13 @@
 		},
 	);
 
+	it('answers wrong usage as JSON when JSON is asked for, and refuses counts that are none', async () => {
+		const result = await call('note', 'history', '--last', 'all', '--output', 'json');
+		expect(JSON.parse(result.out)).toMatchObject({ error: { kind: 'usage', outcome: 'not-applicable' } });
+		expect(JSON.parse((await call('feast', '--output=json')).out)).toMatchObject({ error: { kind: 'usage' } });
+		expect((await call('note', 'submit', 'x.yaml', '--wait-ms', '-1')).exitCode).toBe(64);
+	});
+
 	it('refuses a wrong key, a missing key and a missing daemon', async () => {
 		expect((await call('pools', '--operator-key', 'wrong')).exitCode).toBe(77);
 		expect((await run(['pools'], operator, { environment: {} })).exitCode).toBe(64);
--- a/packages/configuration/src/common/notePlan.ts
+++ b/packages/configuration/src/common/notePlan.ts
@@ -4,15 +4,7 @@
 import { claimingWave, findHost } from './fleetParts.js';
 import type { FleetState, NoteVerdict } from './fleetState.js';
 import { fieldDifferences, type FieldDifference } from './noteDifference.js';
-import {
-	itemName,
-	kindWords,
-	noteChanges,
-	noteKinds,
-	type ItemOf,
-	type NoteChange,
-	type NoteKind,
-} from './noteKinds.js';
+import { itemName, kindWords, noteChanges, type ItemOf, type NoteChange, type NoteKind } from './noteKinds.js';
 import { planWarnings } from './planWarnings.js';
 
 /** One change with the fields that differ from the present state. */
@@ -128,17 +120,3 @@
 	}
 	return [...names].sort();
 }
-
-/** How many things a plan adds, changes and withdraws, by kind. */
-export function planCounts(plan: NotePlan): Readonly<Record<NoteChange['action'], Readonly<Record<string, number>>>> {
-	const count = (action: NoteChange['action']): Record<string, number> =>
-		Object.fromEntries(
-			noteKinds
-				.map((kind): [string, number] => [
-					kind,
-					plan.changes.filter(change => change.action === action && change.kind === kind).length,
-				])
-				.filter(([, total]) => total > 0),
-		);
-	return { added: count('added'), changed: count('changed'), withdrawn: count('withdrawn') };
-}
