--- a/packages/cli/src/test/commandLine.test.ts
+++ b/packages/cli/src/test/commandLine.test.ts
@@ -181,37 +181,18 @@
 
 describe('what operators see', () => {
 	const entries = [{ at: 0, subject: 'rye-01', reason: 'set-aside', details: { failures: 6 } }];
-	const burnRow = {
-		team: '<mill>',
-		queue: 'bread',
-		latencyMs: 200,
-		target: 0.99,
-		windows: [{ windowMs: 300_000, good: 90, bad: 10, burnRate: 10 }],
-		alarm: 'fast-burn',
-	};
+	const objective = { team: '<mill>', queue: 'bread', latencyMs: 200, target: 0.99 };
+	const windows = [{ windowMs: 300_000, good: 90, bad: 10, burnRate: 10 }];
+	const burnRow = { ...objective, windows, alarm: 'fast-burn' };
 
 	beforeEach(async () => {
 		await submitFirst();
-		const hostStatus = { state: 'set-aside', reason: 'failures', running: 0, slots: 8 };
-		const cell = {
-			cell: 'desk',
-			ready: true,
-			term: 4,
-			waitingByQueue: { bread: 2 },
-			runningByTeam: { mill: 3 },
-			slotMsByTeam: { mill: 9_000 },
-			hosts: { 'rye-01': hostStatus },
-		};
-		operator.answers.set('/operator/status', {
-			daemon: 'a',
-			ready: false,
-			reason: 'the view is too old',
-			offset: 0,
-			viewAgeMs: 5_000,
-			logReadable: false,
-			leaders: { desk: { entryHost: 'b', term: 4 } },
-			cells: { desk: cell },
-		});
+		const work = { waitingByQueue: { bread: 2 }, runningByTeam: { mill: 3 }, slotMsByTeam: { mill: 9_000 } };
+		const hosts = { 'rye-01': { state: 'set-aside', reason: 'failures', running: 0, slots: 8 } };
+		const cells = { desk: { cell: 'desk', ready: true, term: 4, ...work, hosts } };
+		const view = { ready: false, reason: 'the view is too old', offset: 0, viewAgeMs: 5_000, logReadable: false };
+		const leaders = { desk: { entryHost: 'b', term: 4 } };
+		operator.answers.set('/operator/status', { daemon: 'a', ...view, leaders, cells });
 		const job = { id: 'j1', cell: 'desk', team: 'mill', queue: 'bread', state: 'running', attempts: 1, host: 'rye-01' };
 		operator.answers.set('/operator/jobs', { jobs: [job] });
 		operator.answers.set('/operator/explain/host/rye-01', { entries });
--- a/packages/cli/src/test/fakeOperator.ts
+++ b/packages/cli/src/test/fakeOperator.ts
@@ -35,6 +35,12 @@
 	const answers = new Map<string, unknown>();
 	const notesById = new Map<string, ReleaseNote>();
 
+	const accept = (note: ReleaseNote): void => {
+		const value = JSON.stringify({ type: 'note', version: 1, note });
+		({ state } = foldControlRecord(state, state.offset + 1, value));
+		notesById.set(note.id, notesById.get(note.id) ?? note);
+	};
+
 	const answer = (path: string): unknown => {
 		const noteId = /^\/operator\/notes\/(.+)$/.exec(path)?.[1];
 		const note = noteId === undefined ? undefined : notesById.get(decodeURIComponent(noteId));
@@ -44,11 +50,11 @@
 		if (path.startsWith('/operator/in-force')) {
 			return { entryHosts: progress.length > 1 ? progress.shift() : (progress[0] ?? []) };
 		}
-		const own: Readonly<Record<string, unknown>> = {
-			'/operator/state': state,
-			'/operator/notes': { verdicts: state.verdicts },
-		};
-		return own[path] ?? answers.get(path);
+		const own = new Map<string, unknown>([
+			['/operator/state', state],
+			['/operator/notes', { verdicts: state.verdicts }],
+		]);
+		return own.get(path) ?? answers.get(path);
 	};
 
 	const server: Server = createServer((request, response) => {
@@ -71,9 +77,7 @@
 				submissions.push(note);
 				const fault = faults.shift();
 				if (fault === undefined || fault === 'lose-answer') {
-					const value = JSON.stringify({ type: 'note', version: 1, note });
-					({ state } = foldControlRecord(state, state.offset + 1, value));
-					notesById.set(note.id, notesById.get(note.id) ?? note);
+					accept(note);
 				}
 				if (fault === 'lose-answer') {
 					request.socket.destroy();
--- a/packages/configuration/src/test/fleetFixture.ts
+++ b/packages/configuration/src/test/fleetFixture.ts
@@ -1,7 +1,6 @@
-import type { ControlRecord, ReleaseNote } from '../common/controlRecord.js';
+import type { ControlRecord, RecordVerdict, ReleaseNote } from '../common/controlRecord.js';
 import { foldControlRecord } from '../common/foldControlRecord.js';
 import { emptyFleetState, type EntryHost, type FleetState, type Host, type Pool } from '../common/fleetState.js';
-import type { RecordVerdict } from '../common/controlRecord.js';
 
 /** A pool with room for two unavailable hosts unless told otherwise. */
 export function pool(name: string, changes: Partial<Pool> = {}): Pool {
@@ -32,6 +31,9 @@
 	return { id, author: 'nadia', writtenAgainst: -1, ...contents };
 }
 
+/** A note as a value of the control stream. */
+export const noteValue = (value: ReleaseNote): string => JSON.stringify({ type: 'note', version: 1, note: value });
+
 /** A stream of records folded one after the other. */
 export interface TestStream {
 	readonly state: FleetState;
@@ -64,7 +66,6 @@
 		values,
 		appendText,
 		append,
-		submit: (id, contents) =>
-			append({ type: 'note', version: 1, note: note(id, { writtenAgainst: state.noteOffset, ...contents }) }),
+		submit: (id, contents) => appendText(noteValue(note(id, { writtenAgainst: state.noteOffset, ...contents }))),
 	};
 }
--- a/packages/configuration/src/test/foldProperties.test.ts
+++ b/packages/configuration/src/test/foldProperties.test.ts
@@ -4,7 +4,7 @@
 import { foldControlRecord } from '../common/foldControlRecord.js';
 import { emptyFleetState, type FleetState } from '../common/fleetState.js';
 import { parseSnapshot, serializeSnapshot } from '../common/snapshot.js';
-import { host, note, pool } from './fleetFixture.js';
+import { host, note, noteValue, pool } from './fleetFixture.js';
 
 // Mutations that were tried once each, and the property that failed:
 // - claimHost: `budgetExcess` asked before `setWaveHost`: "never exceeds a budget".
@@ -76,20 +76,9 @@
 
 const history = fc.array(step, { minLength: 20, maxLength: 60 });
 
-const firstValue = JSON.stringify({
-	type: 'note',
-	version: 1,
-	note: note('first', {
-		added: {
-			pools: POOLS.map(name => pool(name)),
-			hosts: Array.from({ length: HOST_COUNT }, (_, index) => host(index + 1, POOLS[index % 3] ?? 'rye')),
-			waves: [
-				{ name: 'w1', pools: ['rye', 'oats'] },
-				{ name: 'w2', pools: ['oats', 'spare'] },
-			],
-		},
-	}),
-});
+const hosts = Array.from({ length: HOST_COUNT }, (_, index) => host(index + 1, POOLS[index % 3] ?? 'rye'));
+const waves = WAVES.map((name, index) => ({ name, pools: POOLS.slice(index, index + 2) }));
+const firstValue = noteValue(note('first', { added: { pools: POOLS.map(name => pool(name)), hosts, waves } }));
 
 interface Folded {
 	readonly values: readonly string[];
@@ -118,19 +107,13 @@
 	let state = fold(values).states.at(-1) ?? emptyFleetState;
 	for (const [index, next] of steps.entries()) {
 		seen.push(state.noteOffset);
+		const writtenAgainst = next.kind === 'note' ? seen[Math.max(0, seen.length - 1 - next.staleness)] : -1;
 		const value =
 			next.kind === 'copy'
 				? (values[next.position % values.length] ?? firstValue)
 				: next.kind === 'record'
 					? JSON.stringify(next.record)
-					: JSON.stringify({
-							type: 'note',
-							version: 1,
-							note: note(`n-${index}`, {
-								writtenAgainst: seen[Math.max(0, seen.length - 1 - next.staleness)] ?? -1,
-								...next.contents,
-							}),
-						});
+					: noteValue(note(`n-${index}`, { ...next.contents, writtenAgainst: writtenAgainst ?? -1 }));
 		state = foldControlRecord(state, values.length, value).state;
 		values.push(value);
 	}
@@ -167,7 +150,7 @@
 				const values = valuesOf(steps);
 				const first = fold(values);
 				const fork = first.states[branch % values.length] ?? emptyFleetState;
-				foldControlRecord(fork, fork.offset + 1, JSON.stringify({ type: 'note', version: 1, note: note('fork') }));
+				foldControlRecord(fork, fork.offset + 1, noteValue(note('fork')));
 				expect(fold(values).states).toEqual(first.states);
 				const rest = fold(values.slice(fork.offset + 1), fork).states;
 				expect([...first.states.slice(0, fork.offset + 1), ...rest]).toEqual(first.states);
@@ -186,8 +169,7 @@
 				const members = POOLS.map(name => {
 					const request = { name: `probe-${name}`, pools: [name] };
 					const probe = note(`probe-${name}`, { writtenAgainst: state.noteOffset, added: { waves: [request] } });
-					const value = JSON.stringify({ type: 'note', version: 1, note: probe });
-					const { state: after } = foldControlRecord(state, state.offset + 1, value);
+					const { state: after } = foldControlRecord(state, state.offset + 1, noteValue(probe));
 					return Object.keys(after.waves[request.name]?.hosts ?? {});
 				});
 				expect(members.flat().sort()).toEqual(Object.keys(state.hosts).sort());
--- a/packages/configuration/src/test/noteTools.test.ts
+++ b/packages/configuration/src/test/noteTools.test.ts
@@ -4,7 +4,7 @@
 import { revertNote } from '../common/revertNote.js';
 import { parseSnapshot, serializeSnapshot } from '../common/snapshot.js';
 import { createKey, hashKey } from '../node/keyHash.js';
-import { createTestStream, host, note, pool } from './fleetFixture.js';
+import { createTestStream, host, note, noteValue, pool } from './fleetFixture.js';
 
 function createFleet() {
 	const stream = createTestStream();
@@ -48,7 +48,7 @@
 		};
 		expect(stream.submit('n', contents).accepted).toBe(true);
 		const reversal = revertNote(note('n', contents), before, stream.state, { id: 'undo', author: 'nadia' });
-		expect(stream.append({ type: 'note', version: 1, note: reversal.note }).accepted).toBe(true);
+		expect(stream.appendText(noteValue(reversal.note)).accepted).toBe(true);
 		expect(stateDifference(before, stream.state)).toEqual([]);
 		const again = revertNote(note('n', contents), before, stream.state, { id: 'again', author: 'nadia' });
 		expect(again.leftAlone).toContain('host host-4 is already withdrawn');
