Report a used note id instead of the verdict of the first note

Cause: the fold knows a note by its id alone, so a different note under a used id was shown as accepted although it changed nothing. Change: note submit compares the accepted note with the file and ends as note-refused, naming the first difference.

--- a/packages/cli/src/node/commands/noteSubmit.ts
+++ b/packages/cli/src/node/commands/noteSubmit.ts
@@ -1,6 +1,8 @@
 import { kindError, kindOf, messageOf } from '@chestnutwheel/base/common/kindError.js';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
 import type { NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
+import { noteDifference } from '@chestnutwheel/configuration/common/noteDifference.js';
+import { kindWords } from '@chestnutwheel/configuration/common/noteKinds.js';
 import { loadReleaseNote } from '@chestnutwheel/configuration/node/loadReleaseNote.js';
 import type { EntryHostProgress, OperatorClient } from '../../common/operatorProtocol.js';
 import { countArgument, textArgument, type Command, type CommandContext } from '../command.js';
@@ -30,6 +32,7 @@
 			const { kind, reason } = verdict.refusal ?? { kind: 'note-refused', reason: 'no reason given' };
 			throw kindError(kind, reason);
 		}
+		await checkStored(context, client, note);
 		context.progress(`accepted at offset ${verdict.offset}`);
 		const entryHosts = waitMs > 0 ? await waitInForce(context, client, verdict.offset, waitMs) : [];
 		return {
@@ -56,6 +59,28 @@
 	}
 }
 
+/**
+ * The daemon knows a note by its id alone, so a different note under a used id gets the verdict of the first.
+ * @throws `note-refused` when the accepted note does other things than this one
+ */
+async function checkStored(context: CommandContext, client: OperatorClient, note: ReleaseNote): Promise<void> {
+	let stored: ReleaseNote;
+	try {
+		stored = (await client.note(note.id)).note;
+	} catch (error) {
+		context.progress(`could not compare the accepted note with the file: ${kindOf(error)}: ${messageOf(error)}`);
+		return;
+	}
+	const [difference] = noteDifference(stored, note);
+	if (difference !== undefined) {
+		const thing = `${kindWords[difference.kind]} ${difference.name}`;
+		throw kindError(
+			'note-refused',
+			`the id ${note.id} belongs to an earlier note, which differs in ${thing}; give this note an id of its own`,
+		);
+	}
+}
+
 /** Asks until every entry host has reached the offset. @throws `not-in-force` naming those that lag */
 async function waitInForce(
 	context: CommandContext,
--- a/packages/cli/src/test/commandLine.test.ts
+++ b/packages/cli/src/test/commandLine.test.ts
@@ -122,6 +122,14 @@
 		expect(result).toMatchObject({ exitCode: 65, errors: expect.stringContaining('also touched pool/rye') as string });
 	});
 
+	it('refuses another note under a used id, which the daemon takes for a copy of the first', async () => {
+		const path = await submitFirst();
+		expect((await call('note', 'submit', path, '--wait-ms', '0')).exitCode).toBe(0);
+		const other = await file('other.yaml', firstNote.replace('limit: 12', 'limit: 9'));
+		const result = await call('note', 'submit', other, '--wait-ms', '0');
+		expect(result).toMatchObject({ exitCode: 65, errors: expect.stringContaining('differs in team mill') as string });
+	});
+
 	it('says unreachable, not unknown, when no connection was made', async () => {
 		const path = await file('first.yaml', firstNote);
 		await operator.close();
