--- a/packages/cli/src/test/commandLine.test.ts
+++ b/packages/cli/src/test/commandLine.test.ts
@@ -107,15 +107,13 @@
 		expect(result.exitCode).toBe(errorAnswers['append-unknown'].exitCode);
 	});
 
-	it.each(['append-unknown', 'log-unavailable', 'note-conflict', 'not-ready'] as const)(
-		'gives the exit code of the table for %s',
-		async kind => {
-			operator.faults.push(kind);
-			const result = await call('note', 'submit', await file('first.yaml', firstNote));
-			expect(result.exitCode).toBe(errorAnswers[kind].exitCode);
-			expect(result.errors).toContain(kind);
-		},
-	);
+	const kinds = ['append-unknown', 'log-unavailable', 'note-conflict', 'not-ready'] as const;
+	it.each(kinds)('gives the exit code of the table for %s', async kind => {
+		operator.faults.push(kind);
+		const result = await call('note', 'submit', await file('first.yaml', firstNote));
+		expect(result.exitCode).toBe(errorAnswers[kind].exitCode);
+		expect(result.errors).toContain(kind);
+	});
 
 	it('ends with the refusal when the verdict is a refusal', async () => {
 		const path = await submitFirst();
@@ -124,6 +122,14 @@
 		expect(result).toMatchObject({ exitCode: 65, errors: expect.stringContaining('also touched pool/rye') as string });
 	});
 
+	it('refuses another note under a used id, which the daemon takes for a copy of the first', async () => {
+		const path = await submitFirst();
+		expect((await call('note', 'submit', path, '--wait-ms', '0')).exitCode).toBe(0);
+		const other = await file('other.yaml', firstNote.replace('limit: 12', 'limit: 9'));
+		const result = await call('note', 'submit', other, '--wait-ms', '0');
+		expect(result).toMatchObject({ exitCode: 65, errors: expect.stringContaining('differs in team mill') as string });
+	});
+
 	it('says unreachable, not unknown, when no connection was made', async () => {
 		const path = await file('first.yaml', firstNote);
 		await operator.close();
@@ -181,37 +187,18 @@
 
 describe('what operators see', () => {
 	const entries = [{ at: 0, subject: 'rye-01', reason: 'set-aside', details: { failures: 6 } }];
-	const burnRow = {
-		team: '<mill>',
-		queue: 'bread',
-		latencyMs: 200,
-		target: 0.99,
-		windows: [{ windowMs: 300_000, good: 90, bad: 10, burnRate: 10 }],
-		alarm: 'fast-burn',
-	};
+	const objective = { team: '<mill>', queue: 'bread', latencyMs: 200, target: 0.99 };
+	const windows = [{ windowMs: 300_000, good: 90, bad: 10, burnRate: 10 }];
+	const burnRow = { ...objective, windows, alarm: 'fast-burn' };
 
 	beforeEach(async () => {
 		await submitFirst();
-		const hostStatus = { state: 'set-aside', reason: 'failures', running: 0, slots: 8 };
-		const cell = {
-			cell: 'desk',
-			ready: true,
-			term: 4,
-			waitingByQueue: { bread: 2 },
-			runningByTeam: { mill: 3 },
-			slotMsByTeam: { mill: 9_000 },
-			hosts: { 'rye-01': hostStatus },
-		};
-		operator.answers.set('/operator/status', {
-			daemon: 'a',
-			ready: false,
-			reason: 'the view is too old',
-			offset: 0,
-			viewAgeMs: 5_000,
-			logReadable: false,
-			leaders: { desk: { entryHost: 'b', term: 4 } },
-			cells: { desk: cell },
-		});
+		const work = { waitingByQueue: { bread: 2 }, runningByTeam: { mill: 3 }, slotMsByTeam: { mill: 9_000 } };
+		const hosts = { 'rye-01': { state: 'set-aside', reason: 'failures', running: 0, slots: 8 } };
+		const cells = { desk: { cell: 'desk', ready: true, term: 4, ...work, hosts } };
+		const view = { ready: false, reason: 'the view is too old', offset: 0, viewAgeMs: 5_000, logReadable: false };
+		const leaders = { desk: { entryHost: 'b', term: 4 } };
+		operator.answers.set('/operator/status', { daemon: 'a', ...view, leaders, cells });
 		const job = { id: 'j1', cell: 'desk', team: 'mill', queue: 'bread', state: 'running', attempts: 1, host: 'rye-01' };
 		operator.answers.set('/operator/jobs', { jobs: [job] });
 		operator.answers.set('/operator/explain/host/rye-01', { entries });
@@ -255,12 +242,19 @@
 });
 
 describe('use of the command line', () => {
-	it.each([[[]], [['note']], [['feast']], [['pools', '--colour']], [['explain', 'pool', 'rye']], [['key', 'create']]])(
-		'answers %j as wrong usage',
-		async commandLine => {
-			expect(await call(...commandLine)).toMatchObject({ exitCode: 64, out: '' });
-		},
-	);
+	it('answers wrong usage with exit code 64', async () => {
+		for (const text of ['', 'note', 'feast', 'pools --colour', 'explain pool rye', 'key create']) {
+			const commandLine = text.split(' ').filter(word => word !== '');
+			expect(await call(...commandLine), text).toMatchObject({ exitCode: 64, out: '' });
+		}
+	});
+
+	it('answers wrong usage as JSON when JSON is asked for, and refuses counts that are none', async () => {
+		const result = await call('note', 'history', '--last', 'all', '--output', 'json');
+		expect(JSON.parse(result.out)).toMatchObject({ error: { kind: 'usage', outcome: 'not-applicable' } });
+		expect(JSON.parse((await call('feast', '--output=json')).out)).toMatchObject({ error: { kind: 'usage' } });
+		expect((await call('note', 'submit', 'x.yaml', '--wait-ms', '-1')).exitCode).toBe(64);
+	});
 
 	it('refuses a wrong key, a missing key and a missing daemon', async () => {
 		expect((await call('pools', '--operator-key', 'wrong')).exitCode).toBe(77);
