--- a/packages/work/src/common/jobDriver.ts
+++ b/packages/work/src/common/jobDriver.ts
@@ -45,6 +45,14 @@
 	readonly now: MonotonicTime;
 }
 
+/** What is known of a task that ended without a result. */
+interface LapsedTask {
+	readonly checkpoint?: string | undefined;
+	/** Whether nothing ran after the checkpoint. */
+	readonly isClean?: boolean;
+	readonly outcome?: EndOutcome;
+}
+
 /** Drives one job to its end under one term. */
 export interface JobDriver {
 	readonly phase: Phase;
@@ -84,7 +92,6 @@
 	let dueAt = options.now;
 	let lapsesAt = Infinity;
 	let settledAt = -Infinity;
-	let preempting = false;
 	/** Taken at a clean stop that this driver saw; newer than what the ledger may show. */
 	let stopCheckpoint: string | undefined;
 	let checkpointRecord: PendingRecord | undefined;
@@ -118,7 +125,6 @@
 			emit({ type: 'end-placement', jobId, taskId, outcome });
 		}
 		placement = undefined;
-		preempting = false;
 		lapsesAt = Infinity;
 	};
 
@@ -151,11 +157,14 @@
 	};
 
 	/** The task ended without a result and is surely off its worker. */
-	const lapse = (reason: string, checkpoint: string | undefined, cleanly: boolean, now: MonotonicTime): void => {
+	const lapse = (
+		reason: string,
+		now: MonotonicTime,
+		{ checkpoint, isClean = false, outcome = 'stopped' }: LapsedTask = {},
+	): void => {
 		dropCheckpoint();
-		const outcome = preempting ? 'not-started' : 'unknown';
 		const task = placement;
-		if (jobOf()?.request.repeatable !== true && !(cleanly && checkpoint !== undefined)) {
+		if (jobOf()?.request.repeatable !== true && !(isClean && checkpoint !== undefined)) {
 			recordEnd({ type: 'job-outcome-unknown', jobId, reason }, outcome);
 			return;
 		}
@@ -175,6 +184,7 @@
 
 	const recordCheckpoint = (taskId: string, checkpoint: string): void => {
 		if (checkpointRecord === undefined && jobOf()?.checkpoint !== checkpoint) {
+			stopCheckpoint = undefined;
 			checkpointRecord = write(
 				{ type: 'job-checkpointed', jobId, taskId, checkpoint },
 				() => isOver() || jobOf()?.checkpoint === checkpoint,
@@ -224,12 +234,12 @@
 				}
 			},
 			failed: () => recordFailure(task, status.error ?? 'no reason given'),
-			stopped: () => lapse('the task was stopped', status.checkpoint, true, now),
-			'lease-lapsed': () => lapse('the lease of the task lapsed', status.checkpoint, false, now),
+			stopped: () => lapse('the task was stopped', now, { checkpoint: status.checkpoint, isClean: true }),
+			'lease-lapsed': () => lapse('the lease of the task lapsed', now, { checkpoint: status.checkpoint }),
 			'not-known': () => {
 				// A start that is still under way may begin until it is settled.
 				if (now >= settledAt) {
-					lapse('the worker does not know the task', undefined, false, now);
+					lapse('the worker does not know the task', now);
 				} else {
 					dueAt = settledAt;
 				}
@@ -348,7 +358,7 @@
 				status.state !== 'running' &&
 				(status.state !== 'not-known' || now >= settledAt)
 			) {
-				endPlacement(status.state === 'finished' ? 'succeeded' : 'unknown', true);
+				endPlacement(status.state === 'finished' ? 'succeeded' : 'stopped', true);
 				phase = 'done';
 			}
 		},
@@ -357,7 +367,6 @@
 		},
 		preempt: () => {
 			if (phase === 'running' && placement !== undefined) {
-				preempting = true;
 				emit({ type: 'stop-task', taskId: placement.taskId, host: placement.host, checkpoint: true });
 			}
 		},
@@ -366,7 +375,7 @@
 				whenOver[phase]?.();
 			}
 			if (now >= lapsesAt && (phase === 'running' || phase === 'starting')) {
-				lapse('the worker was unreachable until the lease lapsed', undefined, false, now);
+				lapse('the worker was unreachable until the lease lapsed', now, { outcome: 'unknown' });
 			} else if (now >= lapsesAt && phase === 'stopping') {
 				endPlacement('unknown', true);
 				phase = 'done';
--- a/packages/work/src/common/workMessages.ts
+++ b/packages/work/src/common/workMessages.ts
@@ -114,12 +114,15 @@
 	  }
 	| { readonly type: 'place-job'; readonly job: JobRequest; readonly avoidHosts: readonly string[] }
 	| { readonly type: 'withdraw-placement'; readonly jobId: string }
-	/** The placement is over; the outcome is the scheduler's. */
+	/**
+	 * The placement is over. `stopped`: the task ended without a result and is off its worker, so that the slot is free.
+	 * `unknown`: the worker was unreachable until the task's lease had lapsed.
+	 */
 	| {
 			readonly type: 'end-placement';
 			readonly jobId: string;
 			readonly taskId: string;
-			readonly outcome: 'succeeded' | 'failed' | 'not-started' | 'unknown';
+			readonly outcome: 'succeeded' | 'failed' | 'not-started' | 'stopped' | 'unknown';
 	  }
 	| {
 			readonly type: 'start-task';
