Keep waiting jobs beyond 100 of a team without a driver

Change: the drivers of a cell are a unit of their own that keeps the further waiting jobs of each team as names.

--- a/packages/work/src/common/jobController.ts
+++ b/packages/work/src/common/jobController.ts
@@ -1,6 +1,7 @@
 import type { MonotonicTime } from '@chestnutwheel/base/common/clock.js';
 import type { ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
-import { createJobDriver, type JobDriver, type RecordBody } from './jobDriver.js';
+import type { RecordBody } from './jobDriver.js';
+import { createJobDrivers, type JobDrivers } from './jobDrivers.js';
 import { createRecordWriter, type PendingRecord, type RecordWriter } from './recordWriter.js';
 import { hasEnded, MAXIMUM_JOBS, MAXIMUM_JOB_BYTES, type WorkLedger } from './workLedger.js';
 import type { JobEffect, JobMessage } from './workMessages.js';
@@ -9,9 +10,7 @@
 
 /** A submission or cancellation that was not read back after this time is answered as `append-unknown`. */
 const ANSWER_WITHIN_MS = 5_000;
-/** Jobs of one team that wait for a placement at once; its others wait here. */
-const MAXIMUM_PLACING_PER_TEAM = 100;
-/** Least time between two looks at all drivers, so that 50,000 waiting jobs cost little. */
+/** Least time between two looks at all drivers, so that a burst of messages costs little. */
 const TICK_EVERY_MS = 50;
 /** Live jobs that appeared in the ledger without a driver are looked for this often. */
 const SCAN_EVERY_MS = 5_000;
@@ -50,9 +49,7 @@
 	readonly term: number;
 	until: MonotonicTime;
 	readonly writer: RecordWriter;
-	readonly drivers: Map<string, JobDriver>;
-	/** Task to job, for the tasks that are placed. */
-	readonly tasks: Map<string, string>;
+	readonly drivers: JobDrivers;
 	readonly submits: Map<string, Answer>;
 	readonly cancels: Map<string, Answer>;
 	isOpen: boolean;
@@ -69,8 +66,6 @@
 	) => void;
 };
 
-const isPlacing = ({ phase }: JobDriver): boolean => phase === 'placing';
-
 /** Creates the controller of one cell. */
 export function createJobController({ ledger, leader, retentionMs, rackOf }: JobControllerOptions): JobController {
 	let tenure: Tenure | undefined;
@@ -95,33 +90,17 @@
 		}
 	};
 
-	const recordFor = ({ term }: Tenure, body: RecordBody): WorkRecord => ({ ...body, version: 1, term });
-
-	const drive = (held: Tenure, jobId: string, now: MonotonicTime): void => {
-		if (held.drivers.has(jobId)) {
-			return;
-		}
-		const recordOf = (body: RecordBody): WorkRecord => recordFor(held, body);
-		const driver = createJobDriver({ jobId, ledger, writer: held.writer, recordOf, rackOf, emit, now });
-		held.drivers.set(jobId, driver);
-		if (driver.taskId !== undefined) {
-			held.tasks.set(driver.taskId, jobId);
-		}
-	};
-
-	const scan = (held: Tenure, now: MonotonicTime): void => {
-		held.scanAt = now + SCAN_EVERY_MS;
-		for (const job of ledger.jobs()) {
-			if (!hasEnded(job.state)) {
-				drive(held, job.request.jobId, now);
-			}
-		}
-	};
+	const recordFor = ({ term }: { readonly term: number }, body: RecordBody): WorkRecord => ({
+		...body,
+		version: 1,
+		term,
+	});
 
 	const open = (held: Tenure, now: MonotonicTime): void => {
 		held.isOpen = true;
 		held.snapshotAt = now;
-		scan(held, now);
+		held.scanAt = now + SCAN_EVERY_MS;
+		held.drivers.driveAll(now);
 		for (const { endedAt, taskId, host } of ledger.jobs()) {
 			if (endedAt !== undefined && now - endedAt < DELETE_AGAIN_MS && taskId !== undefined && host !== undefined) {
 				emit({ type: 'delete-task', taskId, host });
@@ -130,12 +109,13 @@
 	};
 
 	const takeOver = (term: number, until: MonotonicTime): void => {
+		const writer = createRecordWriter();
+		const recordOf = (body: RecordBody): WorkRecord => recordFor({ term }, body);
 		const held: Tenure = {
 			term,
 			until,
-			writer: createRecordWriter(),
-			drivers: new Map(),
-			tasks: new Map(),
+			writer,
+			drivers: createJobDrivers({ ledger, writer, recordOf, rackOf, emit }),
 			submits: new Map(),
 			cancels: new Map(),
 			isOpen: false,
@@ -144,7 +124,7 @@
 			snapshotOffset: -1,
 		};
 		tenure = held;
-		held.writer.write({
+		writer.write({
 			record: recordFor(held, { type: 'term-opened', leader }),
 			isSeen: () => ledger.term === term && ledger.leader === leader,
 			whenSeen: now => open(held, now),
@@ -173,7 +153,7 @@
 			whenSeen: at => {
 				emit({ type: 'submit-answered', jobId, result: 'accepted' });
 				held.submits.delete(jobId);
-				drive(held, jobId, at);
+				held.drivers.drive(jobId, at);
 			},
 			mayRetry: result => {
 				if (result === 'failed') {
@@ -211,7 +191,7 @@
 			whenSeen: at => {
 				held.cancels.delete(jobId);
 				answerEnded();
-				held.drivers.get(jobId)?.advance(at);
+				held.drivers.ofJob(jobId)?.advance(at);
 			},
 			mayRetry: result => {
 				if (result === 'failed') {
@@ -239,7 +219,9 @@
 	};
 
 	const snapshotIfDue = (held: Tenure, now: MonotonicTime): void => {
-		const isDue = ledger.offset - held.snapshotOffset >= SNAPSHOT_AFTER_RECORDS || now >= held.snapshotAt;
+		// A snapshot costs as much as the state is large, so that a large state is written less often.
+		const records = Math.max(SNAPSHOT_AFTER_RECORDS, (ledger.jobCount + ledger.requestKeyCount) / 4);
+		const isDue = ledger.offset - held.snapshotOffset >= records || now >= held.snapshotAt;
 		if (isDue && ledger.offset >= 0) {
 			held.snapshotAt = now + retentionMs / 2;
 			held.snapshotOffset = ledger.offset;
@@ -247,27 +229,6 @@
 		}
 	};
 
-	const advanceDrivers = (held: Tenure, now: MonotonicTime): void => {
-		if (now >= held.scanAt) {
-			scan(held, now);
-		}
-		const placing = new Map<string, number>();
-		for (const driver of held.drivers.values()) {
-			placing.set(driver.team, (placing.get(driver.team) ?? 0) + (isPlacing(driver) ? 1 : 0));
-		}
-		for (const [jobId, driver] of held.drivers) {
-			const placingOfTeam = placing.get(driver.team) ?? 0;
-			if (driver.phase !== 'waiting' || placingOfTeam < MAXIMUM_PLACING_PER_TEAM) {
-				const wasPlacing = isPlacing(driver);
-				driver.advance(now);
-				placing.set(driver.team, placingOfTeam + (isPlacing(driver) ? 1 : 0) - (wasPlacing ? 1 : 0));
-			}
-			if (driver.phase === 'done') {
-				held.drivers.delete(jobId);
-			}
-		}
-	};
-
 	const advance = (held: Tenure, now: MonotonicTime, isTick: boolean): void => {
 		if (ledger.term > held.term) {
 			loseLease();
@@ -276,17 +237,16 @@
 		effects.push(...held.writer.advance(now));
 		answerOverdue(held, now);
 		if (held.isOpen && isTick) {
-			advanceDrivers(held, now);
+			if (now >= held.scanAt) {
+				held.scanAt = now + SCAN_EVERY_MS;
+				held.drivers.driveAll(now);
+			}
+			held.drivers.advance(now);
 			snapshotIfDue(held, now);
 			effects.push(...held.writer.advance(now));
 		}
 	};
 
-	const driverOf = (held: Tenure | undefined, taskId: string): JobDriver | undefined => {
-		const driver = held?.drivers.get(held.tasks.get(taskId) ?? '');
-		return driver?.taskId === taskId ? driver : undefined;
-	};
-
 	const handlers: Handlers = {
 		'lease-held': ({ term, until }, _now, held) => {
 			if (held?.term === term) {
@@ -317,21 +277,21 @@
 			}
 		},
 		'job-placed': ({ jobId, placement }, _now, held) => {
-			const driver = held?.drivers.get(jobId);
+			const driver = held?.drivers.ofJob(jobId);
 			if (driver === undefined) {
 				emit({ type: 'end-placement', jobId, taskId: placement.taskId, outcome: 'not-started' });
 			}
-			held?.tasks.set(placement.taskId, jobId);
+			held?.drivers.addTask(placement.taskId, jobId);
 			driver?.placed(placement);
 		},
-		'placement-refused': ({ jobId }, now, held) => held?.drivers.get(jobId)?.placementRefused(now),
-		'start-ended': ({ taskId, result }, now, held) => driverOf(held, taskId)?.startEnded(result, now),
-		'task-status': (message, now, held) => driverOf(held, message.taskId)?.status(message, now),
-		'task-unreachable': ({ taskId }, now, held) => driverOf(held, taskId)?.unreachable(now),
+		'placement-refused': ({ jobId }, now, held) => held?.drivers.ofJob(jobId)?.placementRefused(now),
+		'start-ended': ({ taskId, result }, now, held) => held?.drivers.ofTask(taskId)?.startEnded(result, now),
+		'task-status': (message, now, held) => held?.drivers.ofTask(message.taskId)?.status(message, now),
+		'task-unreachable': ({ taskId }, now, held) => held?.drivers.ofTask(taskId)?.unreachable(now),
 		'worker-tasks': ({ host, taskIds }, _now, held) => {
 			// A task that no job in the ledger knows was started by a leader whose record was ignored.
 			for (const taskId of held?.isOpen === true ? taskIds : []) {
-				if (driverOf(held, taskId) === undefined) {
+				if (held?.drivers.ofTask(taskId) === undefined) {
 					emit({ type: 'stop-task', taskId, host, checkpoint: false });
 				}
 			}
@@ -341,7 +301,7 @@
 				held.snapshotAt = now + SNAPSHOT_RETRY_MS;
 			}
 		},
-		'preempt-task': ({ taskId }, _now, held) => driverOf(held, taskId)?.preempt(),
+		'preempt-task': ({ taskId }, _now, held) => held?.drivers.ofTask(taskId)?.preempt(),
 	};
 
 	const dueAt = (now: MonotonicTime): MonotonicTime => {
@@ -349,8 +309,7 @@
 			return Infinity;
 		}
 		const { scanAt, snapshotAt, writer, drivers, submits, cancels } = tenure;
-		let earliest = Math.min(scanAt, snapshotAt, writer.nextTickAt());
-		drivers.forEach(driver => (earliest = Math.min(earliest, driver.nextTickAt())));
+		let earliest = Math.min(scanAt, snapshotAt, writer.nextTickAt(), drivers.nextTickAt());
 		submits.forEach(answer => (earliest = Math.min(earliest, answer.answerBy)));
 		cancels.forEach(answer => (earliest = Math.min(earliest, answer.answerBy)));
 		return Math.max(earliest, now + TICK_EVERY_MS);
@@ -373,7 +332,7 @@
 			}
 			for (const effect of effects) {
 				if (effect.type === 'end-placement') {
-					tenure?.tasks.delete(effect.taskId);
+					tenure?.drivers.removeTask(effect.taskId);
 				}
 			}
 			tickAt = message.type === 'tick' ? dueAt(now) : Math.min(tickAt, now + TICK_EVERY_MS);
