Bound urgent work by its own lead and measure variants in the experiment

Cause: with the lead of all work as the bound, urgent requests of teams that also ran research waited up to 9.8 s; ticks could be due at once for ever while a queue was full. Change: urgent work goes first while the team's urgent work alone is within its share plus 2 s, oldest first; running work is projected 2 s ahead; permits end with the request's deadline; the next tick is always in the future.

--- a/packages/dispatch/src/common/dispatchPolicy.ts
+++ b/packages/dispatch/src/common/dispatchPolicy.ts
@@ -1,6 +1,6 @@
 /** Tunable rules of the dispatcher. The experiment switches each of them off in turn. */
 export interface DispatchPolicy {
-	/** Fraction of the free-able slots of a pool that research may not take. */
+	/** Fraction of the slots of a pool that research leaves free. */
 	readonly headroomFraction: number;
 	/** Whether research jobs are checkpointed for urgent requests. */
 	readonly checkpoints: boolean;
@@ -20,13 +20,15 @@
 	readonly projectionMs: number;
 	/** Lead up to which urgent work goes before other classes, in milliseconds of the team's share. */
 	readonly urgentAdvanceMs: number;
+	/** Whose lead that is: the lead of all work of the team, or of its urgent work alone. */
+	readonly urgentBound: 'team-lead' | 'urgent-lead';
 	/** How a job to checkpoint is chosen among full workers. */
 	readonly victimChoice: 'least-work' | 'pressure';
 }
 
 /** The rules in force; docs/scheduling.md has the measurements behind them. */
 export const defaultDispatchPolicy: DispatchPolicy = {
-	headroomFraction: 1 / 16,
+	headroomFraction: 0,
 	checkpoints: true,
 	lending: true,
 	failureLoad: 8,
@@ -34,8 +36,9 @@
 	hostMoves: true,
 	creditMs: 1_000,
 	debtMs: 10_000,
-	projectionMs: 500,
+	projectionMs: 2_000,
 	urgentAdvanceMs: 2_000,
+	urgentBound: 'urgent-lead',
 	victimChoice: 'least-work',
 };
 
--- a/packages/dispatch/src/common/dispatcher.ts
+++ b/packages/dispatch/src/common/dispatcher.ts
@@ -145,7 +145,7 @@
 				const fenced = takeover.fenceState(grantHeld.host, now) === 'fenced';
 				const held = fenced ? undefined : grants.addReported(grantHeld, now);
 				if (held !== undefined) {
-					fair.started(held.team, now);
+					fair.started(held.team, held.class === 'urgent', now);
 				}
 			}
 			takeover.entryAnswered(entryHost, term);
@@ -173,7 +173,7 @@
 				granting.ended(held, 'gone', now, emit);
 			}
 			for (const held of found) {
-				fair.started(held.team, now);
+				fair.started(held.team, held.class === 'urgent', now);
 			}
 		},
 		'worker-unreachable': ({ host }) => {
@@ -262,14 +262,16 @@
 				return undefined;
 			}
 			const times = [
-				polls.nextAt(),
+				lastNow < context.lease.until ? polls.nextAt() : undefined,
 				waiting.earliestDeadline(),
 				grants.earliestExpiry(),
 				takeover.nextChangeAt(lastNow),
 				health.nextProbeAt(lastNow),
 				relief.nextAt(),
 			];
-			return Math.min(...times.map(at => at ?? Infinity));
+			// What was due has been done; a tick at the same time again would find nothing.
+			const earliest = Math.min(...times.map(at => at ?? Infinity));
+			return earliest === Infinity ? undefined : Math.max(lastNow + 1, earliest);
 		},
 		overview: now => ({
 			cell,
--- a/packages/dispatch/src/common/fairQueue.ts
+++ b/packages/dispatch/src/common/fairQueue.ts
@@ -12,6 +12,8 @@
 	readonly team: string;
 	/** The team's next work is urgent. */
 	readonly urgent: boolean;
+	/** When that work began to wait. */
+	readonly since: number;
 }
 
 /**
@@ -21,8 +23,10 @@
 export interface FairQueue {
 	/** @param slots slots of the cell, which turn a time into an amount of virtual time */
 	configure(teams: readonly FairTeam[], slots: number, now: number): void;
-	started(team: string, now: number): void;
-	ended(team: string, now: number): void;
+	started(team: string, urgent: boolean, now: number): void;
+	ended(team: string, urgent: boolean, now: number): void;
+	/** Whether the team's urgent work goes before other classes of any team. */
+	urgentGoesFirst(team: string, now: number): boolean;
 	/** Tells which teams wait below their limit; a team that joins them gets no more than the credit. */
 	setCompeting(teams: ReadonlySet<string>, now: number): void;
 	/** The team that goes next. @param candidates competing teams that can use a slot now; at least one */
@@ -44,6 +48,10 @@
 
 interface TeamNode extends Node {
 	organisation: string;
+	urgentRunning: number;
+	/** Virtual time of the urgent work alone, less what the share allows since; never below zero. */
+	urgentLead: number;
+	urgentChargedAt: number;
 }
 
 /** Creates an empty fair queue. */
@@ -62,6 +70,20 @@
 		competing: false,
 	});
 
+	const createTeamNode = (organisation: string, share: number, now: number): TeamNode => ({
+		...createNode(share, now),
+		organisation,
+		urgentRunning: 0,
+		urgentLead: 0,
+		urgentChargedAt: now,
+	});
+
+	const chargeUrgent = (node: TeamNode, now: number): void => {
+		const elapsed = Math.max(0, now - node.urgentChargedAt);
+		node.urgentLead = Math.max(0, node.urgentLead + elapsed * (node.urgentRunning / node.share - rate));
+		node.urgentChargedAt = Math.max(node.urgentChargedAt, now);
+	};
+
 	const charge = (node: Node, now: number): void => {
 		const slotMs = node.running * Math.max(0, now - node.chargedAt);
 		node.slotMs += slotMs;
@@ -104,7 +126,7 @@
 		let node = teams.get(name);
 		if (node === undefined) {
 			// Work of a team that is not configured, found on a worker after a failover.
-			node = { ...createNode(1, now), organisation: name };
+			node = createTeamNode(name, 1, now);
 			teams.set(name, node);
 		}
 		return node;
@@ -119,8 +141,10 @@
 		return node;
 	};
 
-	const changeRunning = (team: string, change: number, now: number): void => {
+	const changeRunning = (team: string, urgent: boolean, change: number, now: number): void => {
 		const teamNode = teamOf(team, now);
+		chargeUrgent(teamNode, now);
+		teamNode.urgentRunning += urgent ? change : 0;
 		for (const node of [teamNode, organisationOf(teamNode.organisation, now)]) {
 			charge(node, now);
 			node.running += change;
@@ -140,13 +164,31 @@
 		return best;
 	};
 
+	const urgentGoesFirst = (node: TeamNode, now: number): boolean => {
+		if (policy.urgentBound === 'team-lead') {
+			return leadOf(node, now) <= policy.urgentAdvanceMs;
+		}
+		chargeUrgent(node, now);
+		return node.urgentLead <= policy.urgentAdvanceMs * rate;
+	};
+
+	const leadOf = (node: TeamNode, now: number): number => {
+		const organisation = organisationOf(node.organisation, now);
+		[...teams.values(), ...organisations.values()].forEach(other => charge(other, now));
+		const competitors = [...organisations.values()].filter(other => other.competing);
+		const siblings = [...teams.values()].filter(other => other.competing && other.organisation === node.organisation);
+		const above = organisation.virtualTime - Math.min(least(competitors), organisation.virtualTime);
+		const within = node.virtualTime - Math.min(least(siblings), node.virtualTime);
+		return (above + within) / rate;
+	};
+
 	return {
 		configure: (configured, slots, now) => {
 			const shares = new Map<string, number>();
 			for (const { name, organisation, share } of configured) {
 				shares.set(organisation, (shares.get(organisation) ?? 0) + share);
 				const known = teams.get(name);
-				const node = known ?? { ...createNode(share, now), organisation };
+				const node = known ?? createTeamNode(organisation, share, now);
 				charge(node, now);
 				if (known !== undefined && known.organisation !== organisation) {
 					// The team's running work moves to its new organisation.
@@ -166,8 +208,9 @@
 			}
 			rate = total > 0 ? slots / total : 1;
 		},
-		started: (team, now) => changeRunning(team, 1, now),
-		ended: (team, now) => changeRunning(team, -1, now),
+		started: (team, urgent, now) => changeRunning(team, urgent, 1, now),
+		ended: (team, urgent, now) => changeRunning(team, urgent, -1, now),
+		urgentGoesFirst: (team, now) => urgentGoesFirst(teamOf(team, now), now),
 		setCompeting: (names, now) => {
 			const byOrganisation = new Map<string, Map<Node, boolean>>();
 			for (const name of names) {
@@ -193,32 +236,17 @@
 				charge(organisation, now);
 				return { candidate, node, organisation };
 			});
-			const advance = policy.urgentAdvanceMs * rate;
-			const organisationBound = least(entries.map(entry => entry.organisation)) + advance;
-			const ahead = entries.filter(entry => {
-				if (!entry.candidate.urgent || entry.organisation.virtualTime > organisationBound) {
-					return false;
-				}
-				const siblings = entries.filter(other => other.organisation === entry.organisation);
-				return entry.node.virtualTime <= least(siblings.map(other => other.node)) + advance;
-			});
-			const eligible = ahead.length > 0 ? ahead : entries;
-			const organisation = leastBy(eligible, entry => position(entry.organisation))?.organisation;
+			const ahead = entries.filter(({ candidate, node }) => candidate.urgent && urgentGoesFirst(node, now));
+			if (ahead.length > 0) {
+				return leastBy(ahead, ({ candidate }) => candidate.since)?.candidate;
+			}
+			const organisation = leastBy(entries, entry => position(entry.organisation))?.organisation;
 			return leastBy(
-				eligible.filter(entry => entry.organisation === organisation),
+				entries.filter(entry => entry.organisation === organisation),
 				entry => position(entry.node),
 			)?.candidate;
 		},
-		lead: (team, now) => {
-			const node = teamOf(team, now);
-			const organisation = organisationOf(node.organisation, now);
-			[...teams.values(), ...organisations.values()].forEach(other => charge(other, now));
-			const competitors = [...organisations.values()].filter(other => other.competing);
-			const siblings = [...teams.values()].filter(other => other.competing && other.organisation === node.organisation);
-			const above = organisation.virtualTime - Math.min(least(competitors), organisation.virtualTime);
-			const within = node.virtualTime - Math.min(least(siblings), node.virtualTime);
-			return (above + within) / rate;
-		},
+		lead: (team, now) => leadOf(teamOf(team, now), now),
 		slotMs: now => {
 			const result: Record<string, number> = {};
 			for (const [name, node] of teams) {
--- a/packages/dispatch/src/common/granting.ts
+++ b/packages/dispatch/src/common/granting.ts
@@ -29,7 +29,7 @@
 
 /** Creates the granting step of a cell. */
 export function createGranting(context: CellContext): Granting {
-	const { cell, policy, waiting, grants, hosts, health, fair, placement, scheduler, room } = context;
+	const { cell, waiting, grants, hosts, health, clocks, fair, placement, scheduler, room } = context;
 	let granted = 0;
 
 	const reportHealth = (host: string, change: HealthChange | undefined, emit: Emit): void => {
@@ -47,11 +47,18 @@
 	const grant = (item: WaitingRequest, place: Place, now: number, emit: Emit): void => {
 		const { request } = item;
 		const { host } = place.record;
-		const term = context.lease?.term ?? 0;
+		const { term, until } = context.lease ?? { term: 0, until: 0 };
+		waiting.remove(request.requestId);
+		// A start after the request's deadline is of no use, and its slot could be counted as free only later.
+		const deadline = clocks.startDeadline(host.name, now, Math.min(until, request.deadline));
+		if (deadline === undefined) {
+			refuse(emit, request, { kind: 'deadline-passed', reason: 'deadline-too-close-to-start' });
+			return;
+		}
 		const grantId = `${cell}.${term}.${++granted}`;
 		const isJob = request.kind === 'job';
 		const leaseMs = isJob ? JOB_LEASE_MS : Math.floor(Math.min(request.deadline - now, LONGEST_REQUEST_MS));
-		const { startByMs, latestStartAt } = place.deadline;
+		const { startByMs, latestStartAt } = deadline;
 		const permit: StartPermit = {
 			taskId: grantId,
 			cell,
@@ -72,7 +79,6 @@
 			permit,
 		};
 		const waitedMs = now - item.enqueuedAt;
-		waiting.remove(request.requestId);
 		grants.add({
 			grantId,
 			host: host.name,
@@ -88,7 +94,7 @@
 			grant: result,
 			waitedMs,
 		});
-		fair.started(item.team, now);
+		fair.started(item.team, request.class === 'urgent', now);
 		if (place.probe) {
 			health.probeStarted(host.name, grantId);
 		}
@@ -123,11 +129,11 @@
 		},
 		ended: (held, outcome, now, emit) => {
 			const { state } = context;
-			fair.ended(held.team, now);
+			fair.ended(held.team, held.class === 'urgent', now);
 			room.ended(held.grantId);
 			const record = hosts.get(held.host);
 			reportHealth(held.host, health.probeEnded(held.host, held.grantId, outcome, now), emit);
-			if (policy.setAside && state !== undefined && record !== undefined && outcome !== 'gone') {
+			if (state !== undefined && record !== undefined && outcome !== 'gone') {
 				const closed = [...hosts.records()]
 					.filter(other => other.host.pool === record.host.pool && hosts.closedBecause(other) !== undefined)
 					.map(other => other.host);
--- a/packages/dispatch/src/common/placement.ts
+++ b/packages/dispatch/src/common/placement.ts
@@ -5,14 +5,13 @@
 import type { GrantTable } from './grantTable.js';
 import type { HostRecord, HostTable } from './hostTable.js';
 import type { Takeover } from './takeover.js';
-import type { StartDeadline, WorkerClocks } from './workerClocks.js';
+import type { WorkerClocks } from './workerClocks.js';
 import type { WorkerHealth } from './workerHealth.js';
 
 /** A worker chosen for one start. */
 export interface Place {
 	readonly record: HostRecord;
 	readonly boot: string;
-	readonly deadline: StartDeadline;
 	/** The host is set aside and this start tries it again. */
 	readonly probe: boolean;
 }
@@ -94,8 +93,7 @@
 		if (state !== 'open' && !probe) {
 			return undefined;
 		}
-		const deadline = clocks.startDeadline(name, now, leaseUntil);
-		return deadline === undefined ? undefined : { record, boot: record.boot, deadline, probe };
+		return clocks.startDeadline(name, now, leaseUntil) === undefined ? undefined : { record, boot: record.boot, probe };
 	};
 
 	/** Research leaves the headroom of a pool free. */
--- a/packages/dispatch/src/common/relief.ts
+++ b/packages/dispatch/src/common/relief.ts
@@ -6,7 +6,8 @@
 	/** Remembers when an urgent request has waited long enough to displace research. */
 	urgentQueued(now: number): void;
 	run(now: number, emit: Emit): void;
-	nextAt(): number | undefined;
+	/** The next time at which `run` may find something to do; `Infinity` when only a message can. */
+	nextAt(): number;
 }
 
 /** Wait after which an urgent request without a slot displaces research. */
@@ -100,8 +101,8 @@
 			}
 		},
 		nextAt: () => {
-			const times = [displaceAt[0], moves.nextChangeAt()].filter(at => at !== undefined);
-			return times.length === 0 ? undefined : Math.min(...times);
+			const moveAt = Math.max(moves.nextChangeAt() ?? Infinity, observedAt + OBSERVE_STEP_MS);
+			return Math.min(displaceAt[0] ?? Infinity, moveAt);
 		},
 	};
 }
--- a/packages/dispatch/src/common/scheduler.ts
+++ b/packages/dispatch/src/common/scheduler.ts
@@ -1,6 +1,5 @@
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { PlacementRequest } from './dispatchMessages.js';
-import type { DispatchPolicy } from './dispatchPolicy.js';
 import type { FairCandidate, FairQueue } from './fairQueue.js';
 import type { GrantTable } from './grantTable.js';
 import type { HostTable } from './hostTable.js';
@@ -24,7 +23,6 @@
 
 /** What the scheduler looks at. */
 export interface SchedulerContext {
-	readonly policy: DispatchPolicy;
 	readonly waiting: WaitingQueues;
 	readonly grants: GrantTable;
 	readonly hosts: HostTable;
@@ -39,7 +37,7 @@
 
 /** Creates the scheduler of one cell. */
 export function createScheduler(context: SchedulerContext): Scheduler {
-	const { policy, waiting, grants, hosts, takeover, placement, fair } = context;
+	const { waiting, grants, hosts, takeover, placement, fair } = context;
 	const countedFor = (team: string, now: number): number => {
 		let count = grants.countOfTeam(team);
 		for (const host of takeover.inDoubt(now)) {
@@ -79,7 +77,7 @@
 				}
 			}
 			if (oldest !== undefined) {
-				return { team, urgent: workClass === 'urgent', head: oldest };
+				return { team, urgent: workClass === 'urgent', since: oldest.enqueuedAt, head: oldest };
 			}
 		}
 		return undefined;
@@ -140,7 +138,7 @@
 				const limit = state.teams[team]?.limit ?? Infinity;
 				let counted: number | undefined;
 				for (const urgent of waiting.since(team, 'urgent', since)) {
-					counted ??= fair.lead(team, now) > policy.urgentAdvanceMs ? Infinity : countedFor(team, now);
+					counted ??= fair.urgentGoesFirst(team, now) ? countedFor(team, now) : Infinity;
 					if (counted >= limit) {
 						break;
 					}
--- a/packages/dispatch/src/common/workerHealth.ts
+++ b/packages/dispatch/src/common/workerHealth.ts
@@ -49,8 +49,8 @@
 const FIRST_PROBE_DELAY_MS = 30_000;
 const LONGEST_PROBE_DELAY_MS = 300_000;
 
-/** Creates a table without results. */
-export function createWorkerHealth(): WorkerHealth {
+/** Creates a table without results. @param maySetAside whether failing workers are set aside */
+export function createWorkerHealth(maySetAside = true): WorkerHealth {
 	const resultsByHost = new Map<string, Results>();
 	const setAside = new Map<string, SetAside>();
 
@@ -91,7 +91,7 @@
 			if (results.recent.length > RECENT_RESULTS) {
 				results.recent.shift();
 			}
-			if (setAside.has(host.name) || !isFailing(results) || !withinBounds(host, state, unavailable)) {
+			if (!maySetAside || setAside.has(host.name) || !isFailing(results) || !withinBounds(host, state, unavailable)) {
 				return undefined;
 			}
 			setAside.set(host.name, {
--- a/packages/tools/src/common/experiment/deskShape.ts
+++ b/packages/tools/src/common/experiment/deskShape.ts
@@ -8,6 +8,12 @@
 /** Names of the two desks. */
 export type DeskName = 'speechwriting' | 'barley';
 
+/** How the queues of a shape use the pools. */
+export interface DeskShapeOptions {
+	/** The first queue may use its own pool only. */
+	readonly isolateFirstQueue?: boolean | undefined;
+}
+
 /** Sizes and neighbourhood of one desk. */
 export interface DeskShape {
 	readonly name: DeskName;
@@ -81,8 +87,8 @@
 		});
 }
 
-/** Creates the shape of a desk. Each queue uses its own pool, the next one and the spare pool. */
-export function createDeskShape(name: DeskName): DeskShape {
+/** Creates the shape of a desk. Each queue uses two pools and the spare pool, unless the options say otherwise. */
+export function createDeskShape(name: DeskName, shapeOptions: DeskShapeOptions = {}): DeskShape {
 	const outline = outlines[name];
 	const { queues } = outline;
 	const spare = queues.at(-1) ?? '';
@@ -121,7 +127,10 @@
 			queues: byName(
 				queues.map(queue => {
 					const next = regular[(regular.indexOf(queue) + 1) % regular.length] ?? spare;
-					const pools = queue === spare ? [spare] : [queue, next, spare];
+					// The spare service has few hosts of its own, so it uses two others as well.
+					const others = queue === spare ? [...regular.slice(-1), ...regular.slice(0, 1)] : [queue, next];
+					const isolated = shapeOptions.isolateFirstQueue === true && queue === queues[0];
+					const pools = isolated ? [queue] : [...others, spare];
 					return { name: queue, pools, open: false, maximumWaiting: 400 };
 				}),
 			),
--- a/packages/tools/src/common/experiment/experimentTable.ts
+++ b/packages/tools/src/common/experiment/experimentTable.ts
@@ -6,6 +6,8 @@
 	readonly scenario: string;
 	readonly variant: string;
 	readonly seed: number;
+	/** Fewest moves that serve the demand. */
+	readonly fewest: number;
 	readonly figures: ReplayFigures;
 }
 
@@ -29,11 +31,12 @@
 	['urgent dropped', ({ figures }) => droppedOf(figures, true)],
 	['late', ({ figures }) => figures.late],
 	['dropped', ({ figures }) => droppedOf(figures, false)],
+	['retries', ({ figures }) => figures.retries],
 	['failed', ({ figures }) => figures.failed],
 	['completed', ({ figures }) => figures.completed],
 	['buffer', ({ figures }) => figures.bufferSlots.toFixed(1)],
 	['idle+waiting', ({ figures }) => figures.idleWhileWaitingSlots.toFixed(1)],
-	['moves', ({ figures }) => figures.moves],
+	['moves/fewest', ({ figures, fewest }) => `${figures.moves}/${fewest}`],
 	['checkpoints', ({ figures }) => figures.checkpoints],
 	['lost work s', ({ figures }) => seconds(figures.lostWorkMs)],
 	['set aside', ({ figures }) => figures.setAsides],
--- a/packages/tools/src/common/experiment/workload.ts
+++ b/packages/tools/src/common/experiment/workload.ts
@@ -34,6 +34,20 @@
 	return Math.floor(at / BURST_MS) % queueCount === queueIndex ? BURST_FACTOR : LULL_FACTOR;
 }
 
+/** Fewest spare hosts that the isolated queue needs besides its own pool. */
+export function fewestMoves(shape: DeskShape, scenario: Scenario): number {
+	if (scenario.isolatedLoad === undefined) {
+		return 0;
+	}
+	const hosts = Object.values(shape.state.hosts);
+	const [first] = Object.keys(shape.state.pools);
+	const slotsOf = (pool: string | undefined): number =>
+		hosts.filter(host => pool === undefined || host.pool === pool).reduce((sum, host) => sum + host.slots, 0);
+	const regular = slotsOf(undefined) * (scenario.load.urgent + scenario.load.normal + scenario.load.research);
+	const offered = slotsOf(first) * scenario.isolatedLoad + regular / Object.keys(shape.state.queues).length;
+	return Math.max(0, Math.ceil((offered - slotsOf(first)) / (hosts[0]?.slots ?? 1)));
+}
+
 /** Generates the work of a scenario; the same seed gives the same trace. */
 export function generateTrace(shape: DeskShape, scenario: Scenario, seed: number): readonly TraceItem[] {
 	const random = createSeededRandom(seed);
@@ -60,7 +74,8 @@
 
 	const addStream = (team: string, queueIndex: number, workClass: WorkClass, slotLoad: number, scale: number): void => {
 		const queue = queues[queueIndex] ?? '';
-		const mean = meanRunMs[workClass] * scale;
+		const isLong = workClass === 'research' && scenario.researchRunMs !== undefined;
+		const mean = (isLong ? scenario.researchRunMs : meanRunMs[workClass]) * scale;
 		const bursting = scenario.bursts && workClass !== 'research';
 		const factorAt = (at: number): number => (bursting ? burstFactor(queueIndex, queues.length, at) : 1);
 		if (slotLoad <= 0) {
