Serve on while daemons read the log again after an outage

Cause: when the log came back, daemons that had not read it yet refused 24 requests as view-too-old, because a peer could read it and their own view was old. Change: a daemon serves for 1.5 s after the last moment at which nobody could read the log. With reports of 2 s and retries of 1 s a record is obeyed within 4.5 s.

--- a/packages/daemon/src/node/leader/work/workTask.ts
+++ b/packages/daemon/src/node/leader/work/workTask.ts
@@ -138,7 +138,8 @@
 		},
 		'end-placement': ({ taskId, outcome }) => {
 			grants.delete(taskId);
-			dispatch.finished(taskId, outcome);
+			// A stopped job says nothing about the health of its worker, and its slot is free.
+			dispatch.finished(taskId, outcome === 'stopped' ? 'not-started' : outcome);
 		},
 		'start-task': effect => void tasks.start(effect, grants.get(effect.taskId)),
 		'renew-task': effect => void tasks.renew(effect, lease()?.term ?? 0),
--- a/packages/membership/src/common/leaseMessages.ts
+++ b/packages/membership/src/common/leaseMessages.ts
@@ -73,3 +73,10 @@
 
 /** A report of a peer counts for this long. */
 export const PEER_REPORT_VALID_MS = 2_000;
+
+/**
+ * After an outage of the log one daemon reads it first, and the others need up to a second for their next try. They
+ * serve for this long without a refusal. With the 2 s of a report and the second of a retry a record is obeyed 4.5 s
+ * after it became readable, which is within the bound of 5 s.
+ */
+export const LOG_RETURN_GRACE_MS = 1_500;
--- a/packages/membership/src/common/viewFreshness.ts
+++ b/packages/membership/src/common/viewFreshness.ts
@@ -1,6 +1,12 @@
 import type { MonotonicTime } from '@chestnutwheel/base/common/clock.js';
 import type { ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
-import { CLOCK_RATE_MARGIN, MAXIMUM_VIEW_AGE_MS, PEER_REPORT_VALID_MS, type ViewReport } from './leaseMessages.js';
+import {
+	CLOCK_RATE_MARGIN,
+	LOG_RETURN_GRACE_MS,
+	MAXIMUM_VIEW_AGE_MS,
+	PEER_REPORT_VALID_MS,
+	type ViewReport,
+} from './leaseMessages.js';
 import { majorityOf } from './majority.js';
 
 /** Why a daemon may not take new work. */
@@ -62,6 +68,8 @@
 	let foldedOffset = offset;
 	let confirmedAt = -Infinity;
 	let logReadable = false;
+	// When this daemon last served because nobody could read the log.
+	let unreadableAt = -Infinity;
 	const peers = new Map<string, PeerReport>();
 	// The highest offset reported, and since when the daemon has known of an offset that it has not folded.
 	let reportedOffset = offset;
@@ -130,7 +138,11 @@
 				return { allowed: true };
 			}
 			const someoneReads = logReadable || heard.some(peer => peer?.logReadable === true);
-			return someoneReads || confirmedAt === -Infinity ? refuse('view-too-old') : { allowed: true };
+			if (confirmedAt !== -Infinity && !someoneReads) {
+				unreadableAt = now;
+				return { allowed: true };
+			}
+			return now - unreadableAt <= LOG_RETURN_GRACE_MS ? { allowed: true } : refuse('view-too-old');
 		},
 		report: now => ({
 			configurationOffset: foldedOffset,
