Answer operators with the typed interface that the command line reads

Cause: the daemon and the command line had different shapes for status, jobs, burn and explanations, and npx did not find the binaries on a fresh clone. Change: the types stand in the configuration package for both; the binaries are small committed launchers, since npm links only files that exist before the build.

--- a/packages/cli/src/common/burnPage.ts
+++ b/packages/cli/src/common/burnPage.ts
@@ -1,4 +1,4 @@
-import type { BurnAnswer, BurnRow, BurnWindow } from './operatorProtocol.js';
+import type { BurnAnswer, BurnRow, BurnWindow } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 
 const entities: Readonly<Record<string, string>> = {
 	'&': '&amp;',
--- a/packages/cli/src/node/command.ts
+++ b/packages/cli/src/node/command.ts
@@ -1,7 +1,7 @@
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import type { Options, PositionalOptions } from 'yargs';
 import type { HeadStyle } from '../common/textTable.js';
-import type { OperatorClient } from '../common/operatorProtocol.js';
+import type { OperatorClient } from '../common/operatorClient.js';
 
 /** What a command printed and how it ended. */
 export interface CommandResult {
--- a/packages/cli/src/node/commandLine.ts
+++ b/packages/cli/src/node/commandLine.ts
@@ -1,7 +1,7 @@
 import { errorAnswers } from '@chestnutwheel/base/common/errorKinds.js';
 import { answerOf, kindError, kindOf, messageOf } from '@chestnutwheel/base/common/kindError.js';
 import yargs, { type Argv } from 'yargs';
-import type { OperatorClient } from '../common/operatorProtocol.js';
+import type { OperatorClient } from '../common/operatorClient.js';
 import type { Command, CommandArguments, CommandContext, CommandResult } from './command.js';
 import { commandGroups, commandTable } from './commandTable.js';
 import { createOperatorClient } from './operatorClient.js';
--- a/packages/cli/src/node/commands/explain.ts
+++ b/packages/cli/src/node/commands/explain.ts
@@ -1,5 +1,5 @@
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
-import { explainKinds } from '../../common/operatorProtocol.js';
+import { explainKinds } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import { textTable } from '../../common/textTable.js';
 import { textArgument, type Command } from '../command.js';
 
--- a/packages/cli/src/node/commands/hosts.ts
+++ b/packages/cli/src/node/commands/hosts.ts
@@ -1,4 +1,4 @@
-import type { HostStatus } from '../../common/operatorProtocol.js';
+import type { HostStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import { textTable } from '../../common/textTable.js';
 import { optionalArgument, type Command } from '../command.js';
 
--- a/packages/cli/src/node/commands/notePlan.ts
+++ b/packages/cli/src/node/commands/notePlan.ts
@@ -2,7 +2,7 @@
 import { planNote, type NotePlan, type RunningByTeam } from '@chestnutwheel/configuration/common/notePlan.js';
 import { loadReleaseNote } from '@chestnutwheel/configuration/node/loadReleaseNote.js';
 import { errorAnswers } from '@chestnutwheel/base/common/errorKinds.js';
-import type { OperatorClient } from '../../common/operatorProtocol.js';
+import type { OperatorClient } from '../../common/operatorClient.js';
 import { valueText } from '../../common/textTable.js';
 import { textArgument, type Command } from '../command.js';
 
--- a/packages/cli/src/node/commands/noteRevert.ts
+++ b/packages/cli/src/node/commands/noteRevert.ts
@@ -9,7 +9,7 @@
 } from '@chestnutwheel/configuration/common/noteKinds.js';
 import { revertNote, type ThingsBefore } from '@chestnutwheel/configuration/common/revertNote.js';
 import { stringify } from 'yaml';
-import type { OperatorClient } from '../../common/operatorProtocol.js';
+import type { OperatorClient } from '../../common/operatorClient.js';
 import { optionalArgument, textArgument, type Command } from '../command.js';
 
 /** Writes the note that undoes another one. It is not submitted. */
--- a/packages/cli/src/node/commands/noteSubmit.ts
+++ b/packages/cli/src/node/commands/noteSubmit.ts
@@ -4,7 +4,8 @@
 import { noteDifference } from '@chestnutwheel/configuration/common/noteDifference.js';
 import { kindWords } from '@chestnutwheel/configuration/common/noteKinds.js';
 import { loadReleaseNote } from '@chestnutwheel/configuration/node/loadReleaseNote.js';
-import type { EntryHostProgress, OperatorClient } from '../../common/operatorProtocol.js';
+import type { EntryHostProgress } from '@chestnutwheel/configuration/common/operatorProtocol.js';
+import type { OperatorClient } from '../../common/operatorClient.js';
 import { countArgument, textArgument, type Command, type CommandContext } from '../command.js';
 
 /** Time between two questions whether the note is in force. */
--- a/packages/cli/src/node/commands/status.ts
+++ b/packages/cli/src/node/commands/status.ts
@@ -1,5 +1,5 @@
 import { errorAnswers } from '@chestnutwheel/base/common/errorKinds.js';
-import type { StatusAnswer } from '../../common/operatorProtocol.js';
+import type { StatusAnswer } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import { textTable } from '../../common/textTable.js';
 import type { Command, CommandContext } from '../command.js';
 
--- a/packages/cli/src/node/operatorClient.ts
+++ b/packages/cli/src/node/operatorClient.ts
@@ -2,7 +2,8 @@
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
-import type { OperatorClient, SubmitAnswer } from '../common/operatorProtocol.js';
+import type { SubmitAnswer } from '@chestnutwheel/configuration/common/operatorProtocol.js';
+import type { OperatorClient } from '../common/operatorClient.js';
 
 /** Settings of {@link createOperatorClient}. */
 export interface OperatorClientSettings {
--- a/packages/cli/src/test/fakeOperator.ts
+++ b/packages/cli/src/test/fakeOperator.ts
@@ -4,7 +4,7 @@
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
 import { foldControlRecord } from '@chestnutwheel/configuration/common/foldControlRecord.js';
 import { emptyFleetState, type FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
-import type { EntryHostProgress } from '../common/operatorProtocol.js';
+import type { EntryHostProgress } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import { runCommandLine, type CommandLineSurroundings } from '../node/commandLine.js';
 
 export const OPERATOR_KEY = 'operator-test-key';
--- a/packages/cli/src/common/operatorProtocol.ts
+++ b/packages/configuration/src/common/operatorProtocol.ts
@@ -1,6 +1,6 @@
 import type { ErrorKind, Outcome } from '@chestnutwheel/base/common/errorKinds.js';
-import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
-import type { FleetState, NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
+import type { ReleaseNote } from './controlRecord.js';
+import type { NoteVerdict } from './fleetState.js';
 
 /** Body of every answer that is an error. */
 export interface OperatorErrorBody {
@@ -130,18 +130,3 @@
 	readonly at: number;
 	readonly rows: readonly BurnRow[];
 }
-
-/** Calls of the operator interface. Every call fails with an error that carries its kind. */
-export interface OperatorClient {
-	/** @throws `append-unknown` when the answer was lost, `daemon-unreachable` when nothing was sent */
-	submitNote(note: ReleaseNote): Promise<SubmitAnswer>;
-	notes(): Promise<NotesAnswer>;
-	note(id: string): Promise<NoteAnswer>;
-	state(): Promise<FleetState>;
-	inForce(offset: number): Promise<InForceAnswer>;
-	status(): Promise<StatusAnswer>;
-	jobs(): Promise<JobsAnswer>;
-	explain(kind: string, name: string): Promise<ExplainAnswer>;
-	burn(): Promise<BurnAnswer>;
-	close(): Promise<void>;
-}
--- /dev/null
+++ b/packages/daemon/bin/chestnutwheeld.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../out/node/main.js';
--- a/packages/daemon/src/common/peerProtocol.ts
+++ b/packages/daemon/src/common/peerProtocol.ts
@@ -1,4 +1,5 @@
 import type { ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
+import type { CellStatus, ExplainAnswer, JobStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import type { AttemptOutcome, Grant, WorkClass } from '@chestnutwheel/dispatch/common/dispatchMessages.js';
 import type {
 	LeaseRelease,
@@ -85,9 +86,12 @@
 	'job.submit': { parameters: { cell: string; job: JobRequest; remainingMs: number }; result: JobResponse };
 	'job.get': { parameters: { cell: string; team: string; jobId: string }; result: JobResponse };
 	'job.cancel': { parameters: { cell: string; team: string; jobId: string }; result: JobResponse };
-	'operator.cell': { parameters: { cell: string }; result: { overview?: unknown; jobs: readonly JobView[] } };
-	'operator.explain': { parameters: { subject: string }; result: { entries: readonly Explanation[] } };
-	'operator.burn': { parameters: object; result: { report: unknown } };
+	'operator.cell': {
+		parameters: { cell: string };
+		result: { overview?: CellStatus | undefined; jobs: readonly JobStatus[] };
+	};
+	'operator.explain': { parameters: { subject: string }; result: ExplainAnswer };
+	'operator.burn': { parameters: object; result: { part: BurnPart } };
 }
 
 /** Names of the methods between daemons. */
@@ -100,14 +104,8 @@
 	readonly view: ViewReport;
 }
 
-/** One recorded decision with its reason. */
-export interface Explanation {
-	/** ISO time on the daemon that decided; for display only. */
-	readonly at: string;
-	readonly subject: string;
-	readonly reason: string;
-	readonly details: Readonly<Record<string, string | number>>;
-}
+/** One daemon's part of the burn report. */
+export type BurnPart = unknown;
 
 /** The leader answers a placement request within this time, so that a silent connection shows. */
 export const WAIT_SLICE_MS = 800;
--- a/packages/daemon/src/node/burn/burnTask.ts
+++ b/packages/daemon/src/node/burn/burnTask.ts
@@ -1,14 +1,16 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
+import type { BurnAnswer } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
+import type { BurnPart } from '../../common/peerProtocol.js';
 import type { RequestEnded } from '../entry/callerService.js';
 
 /** Records ended requests for the report on service-level burn. */
 export interface BurnTask {
 	record(ended: RequestEnded): void;
 	/** This daemon's part of the report. */
-	report(): unknown;
+	part(): BurnPart;
 	/** Merges the parts of all entry hosts. */
-	merge(parts: readonly unknown[]): unknown;
+	merge(parts: readonly BurnPart[]): BurnAnswer;
 }
 
 /** What the task needs. */
@@ -21,7 +23,7 @@
 export function createBurnTask(options: BurnTaskOptions): BurnTask {
 	return {
 		record: () => void options.clock.now(),
-		report: () => ({}),
-		merge: parts => ({ parts }),
+		part: () => ({}),
+		merge: () => ({ at: options.clock.wallNow(), rows: [] }),
 	};
 }
--- a/packages/daemon/src/node/edges/controlController.ts
+++ b/packages/daemon/src/node/edges/controlController.ts
@@ -1,4 +1,4 @@
-import { Controller, Get, HttpCode, Inject, Param, Post, Query, Req, Res } from '@nestjs/common';
+import { Controller, Get, HttpCode, Inject, Param, Post, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { CONTROL_SERVICE, type ControlService } from '../operator/controlService.js';
 
@@ -32,13 +32,9 @@
 	}
 
 	@Get('operator/in-force')
-	async inForce(
-		@Query('offset') offset: string,
-		@Req() request: FastifyRequest,
-		@Res() reply: FastifyReply,
-	): Promise<void> {
+	async inForce(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
 		this.service.authorize(request.headers.authorization);
-		void reply.send(await this.service.inForce(Number(offset)));
+		void reply.send(await this.service.inForce());
 	}
 
 	@Get('operator/notes/:id')
--- a/packages/daemon/src/node/leader/cellLeader.ts
+++ b/packages/daemon/src/node/leader/cellLeader.ts
@@ -7,8 +7,8 @@
 import {
 	WAIT_SLICE_MS,
 	type FinishedAttempt,
-	type JobView,
 	type OnlyOnce,
+	type PeerMethods,
 	type WorkRequest,
 	type WorkResponse,
 } from '../../common/peerProtocol.js';
@@ -28,7 +28,7 @@
 	/** @returns the ids of the attempts that need not be reported again */
 	finish(attempts: readonly FinishedAttempt[]): readonly string[];
 	readonly work: WorkTask;
-	view(): { overview?: unknown; jobs: readonly JobView[] };
+	view(): PeerMethods['operator.cell']['result'];
 }
 
 /** What the leader needs: what its tasks need, apart from what they give each other. */
--- a/packages/daemon/src/node/leader/explanations.ts
+++ b/packages/daemon/src/node/leader/explanations.ts
@@ -1,12 +1,12 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import { createRing } from '@chestnutwheel/base/common/ring.js';
-import type { Explanation } from '../../common/peerProtocol.js';
+import type { ExplainEntry } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 
 /** Keeps the latest decisions with their reasons. */
 export interface Explanations {
 	add(subject: string, reason: string, details: Readonly<Record<string, string | number>>): void;
 	/** Decisions on a subject such as `host/worker-3` or `request/ID`, oldest first. */
-	of(subject: string): readonly Explanation[];
+	of(subject: string): readonly ExplainEntry[];
 }
 
 /** Decisions kept; the oldest is dropped. */
@@ -14,10 +14,9 @@
 
 /** Creates an empty record of decisions. */
 export function createExplanations(clock: Clock): Explanations {
-	const ring = createRing<Explanation>(KEPT);
+	const ring = createRing<ExplainEntry>(KEPT);
 	return {
-		add: (subject, reason, details) =>
-			ring.push({ at: new Date(clock.wallNow()).toISOString(), subject, reason, details }),
+		add: (subject, reason, details) => ring.push({ at: clock.wallNow(), subject, reason, details }),
 		of: subject => ring.items().filter(entry => entry.subject === subject || entry.subject.startsWith(`${subject}.`)),
 	};
 }
--- a/packages/daemon/src/node/leader/work/workTask.ts
+++ b/packages/daemon/src/node/leader/work/workTask.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
+import type { JobStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { Grant } from '@chestnutwheel/dispatch/common/dispatchMessages.js';
 import type { HeldLease } from '@chestnutwheel/membership/common/leaseHolder.js';
@@ -28,7 +29,7 @@
 	submit(job: JobRequest, deadline: number): Promise<JobResponse>;
 	get(team: string, jobId: string): JobResponse;
 	cancel(team: string, jobId: string): Promise<JobResponse>;
-	jobs(): readonly JobView[];
+	jobs(): readonly JobStatus[];
 	workerAnswered(host: string, status: WorkerStatus): void;
 	/** The scheduler wants the slot of a job. */
 	checkpoint(grantId: string): void;
@@ -179,6 +180,17 @@
 		result: job.result,
 	});
 
+	const statusOf = ({ request, state: jobState, attempts, host, reason }: LedgerJob): JobStatus => ({
+		id: request.jobId,
+		cell,
+		team: request.team,
+		queue: request.queue,
+		state: jobState,
+		attempts: attempts.length,
+		host,
+		reason,
+	});
+
 	/** A job of another team is answered like one that does not exist. */
 	const find = (team: string, jobId: string): JobResponse => {
 		if (lease() === undefined || !controller.isOpen) {
@@ -224,7 +236,7 @@
 			send({ type: 'cancel-job', jobId });
 			return jobAfter(team, jobId, await answer);
 		},
-		jobs: () => [...ledger.jobs()].slice(-MAXIMUM_SHOWN_JOBS).map(job => ({ ...viewOf(job), result: undefined })),
+		jobs: () => [...ledger.jobs()].slice(-MAXIMUM_SHOWN_JOBS).map(statusOf),
 		workerAnswered: (host, status) => {
 			const taskIds = status.running.filter(task => task.kind === 'job').map(task => task.taskId);
 			send({ type: 'worker-tasks', host, taskIds });
--- a/packages/daemon/src/node/operator/controlService.ts
+++ b/packages/daemon/src/node/operator/controlService.ts
@@ -3,7 +3,18 @@
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import type { FleetState, NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { LogClient } from '@chestnutwheel/platform/common/logProtocol.js';
-import type { Explanation, JobView, PeerStatus } from '../../common/peerProtocol.js';
+import type {
+	BurnAnswer,
+	CellStatus,
+	ExplainAnswer,
+	InForceAnswer,
+	JobsAnswer,
+	NoteAnswer,
+	NotesAnswer,
+	StatusAnswer,
+} from '@chestnutwheel/configuration/common/operatorProtocol.js';
+import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
+import type { BurnPart, PeerMethods, PeerStatus } from '../../common/peerProtocol.js';
 import { CONTROL_STREAM } from '../control/controlReader.js';
 import type { CellCalls } from '../peers/cellCalls.js';
 import type { PeerServer } from '../peers/peerServer.js';
@@ -29,9 +40,9 @@
 	authorize(authorization: string | undefined): void;
 	submitNote(body: unknown): Promise<NoteVerdict>;
 	/** @throws `unknown-item` */
-	note(id: string): Promise<unknown>;
-	inForce(offset: number): Promise<unknown>;
-	explain(kind: string, name: string): Promise<{ entries: readonly Explanation[] }>;
+	note(id: string): Promise<NoteAnswer>;
+	inForce(): Promise<InForceAnswer>;
+	explain(kind: string, name: string): Promise<ExplainAnswer>;
 	/** @throws `unknown-item` */
 	view(name: string): Promise<unknown>;
 }
@@ -50,7 +61,7 @@
 	readonly health: () => Health;
 	readonly leaderOf: (cell: string) => string | undefined;
 	/** Merges the burn reports of all entry hosts. */
-	readonly mergeBurn: (reports: readonly unknown[]) => unknown;
+	readonly mergeBurn: (parts: readonly BurnPart[]) => BurnAnswer;
 }
 
 /** A call for operators may take longer than one between daemons. */
@@ -68,27 +79,45 @@
 
 	const cells = (): string[] => [...new Set(Object.values(state().pools).map(pool => pool.cell))].sort();
 
-	const cellView = async (cell: string): Promise<{ overview?: unknown; jobs: readonly JobView[] }> =>
+	const cellView = (cell: string): Promise<PeerMethods['operator.cell']['result']> =>
 		calls.toLeader(cell, 'operator.cell', { cell }, OPERATOR_CALL_TIMEOUT_MS).catch(() => ({ jobs: [] }));
 
+	const status = async (): Promise<StatusAnswer> => {
+		const { ready, reason, view } = options.health();
+		const names = cells();
+		const overviews = await Promise.all(names.map(async cell => (await cellView(cell)).overview));
+		const known = overviews.filter((overview): overview is CellStatus => overview !== undefined);
+		return {
+			daemon: options.self,
+			ready,
+			reason,
+			offset: view.configurationOffset,
+			viewAgeMs: view.viewAgeMs,
+			logReadable: view.logReadable,
+			leaders: Object.fromEntries(
+				names.map((cell, index) => [cell, { entryHost: options.leaderOf(cell), term: overviews[index]?.term ?? 0 }]),
+			),
+			cells: Object.fromEntries(known.map(overview => [overview.cell, overview])),
+		};
+	};
+
+	const jobs = async (): Promise<JobsAnswer> => ({
+		jobs: (await Promise.all(cells().map(cellView))).flatMap(view => view.jobs),
+	});
+
+	const notes = (): Promise<NotesAnswer> => Promise.resolve({ verdicts: state().verdicts });
+
+	const burn = async (): Promise<BurnAnswer> => {
+		const answers = await askAll(name => calls.toEntryHost(name, 'operator.burn', {}, OPERATOR_CALL_TIMEOUT_MS));
+		return options.mergeBurn(answers.flatMap(answer => (answer === undefined ? [] : [answer.part])));
+	};
+
 	const views: Readonly<Record<string, () => Promise<unknown>>> = {
 		state: () => Promise.resolve(state()),
-		notes: () => Promise.resolve({ verdicts: state().verdicts }),
-		status: async () => {
-			const byCell = await Promise.all(
-				cells().map(async cell => ({
-					cell,
-					leader: options.leaderOf(cell),
-					overview: (await cellView(cell)).overview,
-				})),
-			);
-			return { daemon: options.health(), configurationOffset: state().offset, cells: byCell };
-		},
-		jobs: async () => ({ jobs: (await Promise.all(cells().map(cellView))).flatMap(view => view.jobs) }),
-		burn: async () => {
-			const answers = await askAll(name => calls.toEntryHost(name, 'operator.burn', {}, OPERATOR_CALL_TIMEOUT_MS));
-			return options.mergeBurn(answers.flatMap(answer => (answer === undefined ? [] : [answer.report])));
-		},
+		notes,
+		status,
+		jobs,
+		burn,
 	};
 
 	return {
@@ -109,20 +138,15 @@
 				throw kindError('unknown-item', `no note ${JSON.stringify(id)} is among the remembered ones`);
 			}
 			const answer = await options.log.read(CONTROL_STREAM, verdict.offset, { limit: 1 });
-			const record = JSON.parse(answer.records[0]?.value ?? '{}') as { note?: unknown };
+			const record = JSON.parse(answer.records[0]?.value ?? '{}') as { note: ReleaseNote };
 			return { verdict, note: record.note };
 		},
-		inForce: async offset => {
+		inForce: async () => {
 			const answers = await askAll(name => calls.toEntryHost(name, 'control.status', {}));
 			return {
 				entryHosts: entryHosts().map((name, index) => {
 					const configurationOffset = answers[index]?.view.configurationOffset;
-					return {
-						name,
-						reachable: configurationOffset !== undefined,
-						offset: configurationOffset ?? -1,
-						inForce: (configurationOffset ?? -1) >= offset,
-					};
+					return { name, offset: configurationOffset ?? -1, reachable: configurationOffset !== undefined };
 				}),
 			};
 		},
@@ -130,7 +154,7 @@
 			const subject = `${kind}/${name}`;
 			const answers = await askAll(entryHost => calls.toEntryHost(entryHost, 'operator.explain', { subject }));
 			const entries = answers.flatMap(answer => answer?.entries ?? []);
-			return { entries: entries.sort((left, right) => left.at.localeCompare(right.at)) };
+			return { entries: entries.sort((left, right) => left.at - right.at) };
 		},
 		view: async name => {
 			const handler = Object.hasOwn(views, name) ? views[name] : undefined;
--- a/packages/daemon/src/node/peers/peerHandlers.ts
+++ b/packages/daemon/src/node/peers/peerHandlers.ts
@@ -64,6 +64,6 @@
 		'job.cancel': ({ cell, team, jobId }) => leaders.of(cell)?.work.cancel(team, jobId) ?? unknownCell,
 		'operator.cell': ({ cell }) => leaders.of(cell)?.view() ?? { jobs: [] },
 		'operator.explain': ({ subject }) => ({ entries: explanations.of(subject) }),
-		'operator.burn': () => ({ report: options.burn.report() }),
+		'operator.burn': () => ({ part: options.burn.part() }),
 	};
 }
--- a/packages/tools/src/node/fleet/fleetClient.ts
+++ b/packages/tools/src/node/fleet/fleetClient.ts
@@ -1,5 +1,7 @@
 import { request } from 'undici';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
+import type { StatusAnswer } from '@chestnutwheel/configuration/common/operatorProtocol.js';
+import type { LocalFleet } from './localFleet.js';
 
 /** What came back from a daemon. */
 export interface FleetAnswer {
@@ -84,12 +86,22 @@
 	});
 }
 
+/** Reads the status of the fleet through one daemon. */
+export async function readStatus(controlAddress: string, operatorKey: string): Promise<StatusAnswer> {
+	return (await readView(controlAddress, operatorKey, 'status')) as StatusAnswer;
+}
+
 /** Waits until every cell has a leader that grants work. */
 export async function waitUntilLed(controlAddress: string, operatorKey: string): Promise<void> {
 	await waitUntil('a leader of every cell', async () => {
-		const { cells } = (await readView(controlAddress, operatorKey, 'status')) as {
-			cells: readonly { overview?: { ready?: boolean } }[];
-		};
-		return cells.length > 0 && cells.every(cell => cell.overview?.ready === true);
+		const { cells, leaders } = await readStatus(controlAddress, operatorKey);
+		const names = Object.keys(leaders);
+		return names.length > 0 && names.every(cell => cells[cell]?.ready === true);
 	});
 }
+
+/** Index of the daemon that leads a cell; -1 when none is known. */
+export async function leaderIndex(fleet: LocalFleet, cell: string, through: number): Promise<number> {
+	const { leaders } = await readStatus(fleet.daemons[through]?.entryHost.address ?? '', fleet.operatorKey);
+	return fleet.daemons.findIndex(daemon => daemon.entryHost.name === leaders[cell]?.entryHost);
+}
--- a/packages/tools/src/test/jobsAndOnce.test.ts
+++ b/packages/tools/src/test/jobsAndOnce.test.ts
@@ -2,7 +2,7 @@
 import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
 import {
 	exchange,
-	readView,
+	leaderIndex,
 	sendRequest,
 	setFaults,
 	submitNote,
@@ -38,13 +38,6 @@
 		await fleet.stop();
 	});
 
-	const leaderIndex = async (through: number): Promise<number> => {
-		const { cells } = (await readView(control(through), fleet.operatorKey, 'status')) as {
-			cells: { leader?: string }[];
-		};
-		return fleet.daemons.findIndex(daemon => daemon.entryHost.name === cells[0]?.leader);
-	};
-
 	const sendOnce = (daemon: number, requestKey: string, workMs: number): Promise<FleetAnswer> =>
 		sendRequest(caller(daemon), {
 			queue: 'logistics',
@@ -112,7 +105,7 @@
 	});
 
 	it('keeps jobs and request keys when the leader is killed in between', async () => {
-		const leader = await leaderIndex(0);
+		const leader = await leaderIndex(fleet, 'barley', 0);
 		const survivors = [...fleet.daemons.keys()].filter(index => index !== leader);
 		const first = survivors[0] ?? 0;
 		const jobId = await submitJob(first, { workMs: 3_000, result: 'late', mark: 'job-2' }, 'job-2');
--- a/packages/tools/src/test/processFailures.test.ts
+++ b/packages/tools/src/test/processFailures.test.ts
@@ -3,6 +3,8 @@
 import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
 import {
 	exchange,
+	leaderIndex,
+	readStatus,
 	readView,
 	sendRequest,
 	setFaults,
@@ -42,13 +44,6 @@
 		await fleet.stop();
 	});
 
-	const leaderIndex = async (through: number): Promise<number> => {
-		const { cells } = (await readView(control(through), fleet.operatorKey, 'status')) as {
-			cells: { leader?: string }[];
-		};
-		return fleet.daemons.findIndex(daemon => daemon.entryHost.name === cells[0]?.leader);
-	};
-
 	const start = (name: string): LoadDriver =>
 		startLoad({
 			name,
@@ -94,7 +89,7 @@
 	it('keeps the limit and loses no request of the other daemons when the leader is killed', async () => {
 		const load = start('kill');
 		await untilSent(load, 100);
-		const leader = await leaderIndex(0);
+		const leader = await leaderIndex(fleet, 'barley', 0);
 		load.exclude(leader);
 		fleet.daemons[leader]?.running.process.kill('SIGKILL');
 		const before = load.sent().length;
@@ -107,11 +102,11 @@
 	it('keeps the limit when the leader is paused past its lease and resumed', async () => {
 		const load = start('pause');
 		await untilSent(load, 100);
-		const leader = await leaderIndex(0);
+		const leader = await leaderIndex(fleet, 'barley', 0);
 		load.exclude(leader);
 		fleet.daemons[leader]?.running.process.kill('SIGSTOP');
 		const survivor = everyDaemon().find(index => index !== leader) ?? 0;
-		await waitUntil('a new leader', async () => (await leaderIndex(survivor)) !== leader);
+		await waitUntil('a new leader', async () => (await leaderIndex(fleet, 'barley', survivor)) !== leader);
 		await untilSent(load, load.sent().length + 200);
 		fleet.daemons[leader]?.running.process.kill('SIGCONT');
 		load.include(leader);
@@ -203,10 +198,8 @@
 		});
 		expect(answer.status, answer.body).toBe(200);
 		await waitUntil('the leader to know', async () => {
-			const { cells } = (await readView(control(0), fleet.operatorKey, 'status')) as {
-				cells: { overview?: { hosts: Record<string, { state: string }> } }[];
-			};
-			return cells[0]?.overview?.hosts[leaving]?.state === 'leaving';
+			const { cells } = await readStatus(control(0), fleet.operatorKey);
+			return cells.barley?.hosts[leaving]?.state === 'leaving';
 		});
 		const startsBefore = (await readLedgers(fleet.workers)).starts.filter(line => line.host === leaving).length;
 		await untilSent(load, load.sent().length + 300);
