Let a voter forget the term of a round that nobody won

Cause: two of five entry hosts that were cut off together raised their terms in vain, and refused the leader's renewals for as long as it led. The leader lost these voters. Change: a release tells whether the term ever had a majority. If not, the voter goes back to the promise and the term that it had before.

--- a/packages/membership/src/common/leaseHolder.ts
+++ b/packages/membership/src/common/leaseHolder.ts
@@ -109,7 +109,11 @@
 	const giveUp = (lost: Round): void => {
 		round = undefined;
 		for (const to of lost.asked) {
-			releases.push({ to, method: 'lease.release', release: { ...identity, cell, term: lost.term } });
+			releases.push({
+				to,
+				method: 'lease.release',
+				release: { ...identity, cell, term: lost.term, unused: !lost.won },
+			});
 		}
 	};
 
--- a/packages/membership/src/common/leaseMessages.ts
+++ b/packages/membership/src/common/leaseMessages.ts
@@ -54,6 +54,8 @@
 export interface LeaseRelease extends DaemonIdentity {
 	readonly cell: string;
 	readonly term: number;
+	/** The term never had a majority, so that the voter may forget it. */
+	readonly unused: boolean;
 }
 
 /** Length of a promise, counted by the voter from its answer and by the holder from its request. */
--- a/packages/membership/src/common/leaseVoter.ts
+++ b/packages/membership/src/common/leaseVoter.ts
@@ -41,10 +41,18 @@
 	mayAcknowledge(entrySetOffset: number, now: MonotonicTime): boolean;
 }
 
+interface VoterPromise {
+	readonly holder: DaemonIdentity;
+	readonly term: number;
+	readonly until: MonotonicTime;
+}
+
 interface CellVote {
 	highestTerm: number;
 	/** The last promise; it may be renewed under the same term after it has run out. */
-	promise: { holder: DaemonIdentity; term: number; until: MonotonicTime } | undefined;
+	promise: VoterPromise | undefined;
+	/** What was there before the first promise under the present term. */
+	before: { readonly highestTerm: number; readonly promise: VoterPromise | undefined };
 }
 
 /** Creates the voter of one daemon process. */
@@ -58,7 +66,11 @@
 		if (known !== undefined) {
 			return known;
 		}
-		const created: CellVote = { highestTerm: 0, promise: undefined };
+		const created: CellVote = {
+			highestTerm: 0,
+			promise: undefined,
+			before: { highestTerm: 0, promise: undefined },
+		};
 		votes.set(cell, created);
 		return created;
 	};
@@ -96,6 +108,9 @@
 			const vote = voteOf(request.cell);
 			const denial = denialOf(request, vote, context);
 			if (denial === undefined) {
+				if (vote.promise?.term !== request.term) {
+					vote.before = { highestTerm: vote.highestTerm, promise: vote.promise };
+				}
 				vote.highestTerm = request.term;
 				vote.promise = {
 					holder: { entryHost: request.entryHost, incarnation: request.incarnation },
@@ -123,6 +138,11 @@
 				return false;
 			}
 			vote.promise = undefined;
+			if (release.unused) {
+				// Otherwise a leader could not renew at this voter again after a candidate that was cut off together with it.
+				vote.highestTerm = vote.before.highestTerm;
+				vote.promise = vote.before.promise === undefined ? undefined : { ...vote.before.promise, until: -Infinity };
+			}
 			return now < promise.until;
 		},
 		mayAcknowledge: (entrySetOffset, now) => {
