Work out the end of a lease when a promise changes, not at each question

Cause: each look at the lease sorted the promises again. Change: the round keeps its end, renewed at each response and tick.

--- a/packages/membership/src/common/leaseHolder.ts
+++ b/packages/membership/src/common/leaseHolder.ts
@@ -83,6 +83,8 @@
 	readonly asked: Set<string>;
 	sentAt: MonotonicTime;
 	won: boolean;
+	/** End of the lease by the promises and the entry hosts known. */
+	until: MonotonicTime;
 }
 
 /** Creates the holder of one daemon for one cell. */
@@ -127,8 +129,8 @@
 		if (round === undefined) {
 			return;
 		}
-		const until = untilOf(round);
-		if (until > now) {
+		round.until = untilOf(round);
+		if (round.until > now) {
 			round.won = true;
 			holder = identity.entryHost;
 			return;
@@ -175,6 +177,7 @@
 			asked: new Set(),
 			sentAt: now,
 			won: false,
+			until: -Infinity,
 		};
 	};
 
@@ -231,13 +234,7 @@
 			holder = round?.won === true ? holder : undefined;
 			askAt = now + randomDelay();
 		},
-		lease: now => {
-			if (round === undefined) {
-				return undefined;
-			}
-			const until = untilOf(round);
-			return until > now ? { term: round.term, until } : undefined;
-		},
+		lease: now => (round !== undefined && round.until > now ? { term: round.term, until: round.until } : undefined),
 		observedHolder: () => holder,
 		release: () => {
 			stopped = true;
