--- a/packages/dispatch/src/common/cellContext.ts
+++ b/packages/dispatch/src/common/cellContext.ts
@@ -59,7 +59,7 @@
 	const fair = createFairQueue(policy);
 	const placement = createPlacement({ policy, hosts, grants, takeover, clocks, health, random });
 	const scheduler = createScheduler({ waiting, grants, hosts, takeover, placement, fair });
-	const room = createMakeRoom(policy, grants, fair);
+	const room = createMakeRoom(grants, fair);
 	const polls = createWorkerPolls({ hosts, grants, takeover });
 	const context: CellContext = {
 		cell,
--- a/packages/dispatch/src/common/dispatchPolicy.ts
+++ b/packages/dispatch/src/common/dispatchPolicy.ts
@@ -22,8 +22,6 @@
 	readonly urgentAdvanceMs: number;
 	/** Whose lead that is: the lead of all work of the team, or of its urgent work alone. */
 	readonly urgentBound: 'team-lead' | 'urgent-lead';
-	/** How a job to checkpoint is chosen among full workers. */
-	readonly victimChoice: 'least-work' | 'pressure';
 }
 
 /** The rules in force; docs/scheduling.md has the measurements behind them. */
@@ -39,7 +37,6 @@
 	projectionMs: 2_000,
 	urgentAdvanceMs: 2_000,
 	urgentBound: 'urgent-lead',
-	victimChoice: 'least-work',
 };
 
 /** Longest time that a short request may run, and so the longest time that a worker stays in doubt. */
--- a/packages/dispatch/src/common/makeRoom.ts
+++ b/packages/dispatch/src/common/makeRoom.ts
@@ -1,11 +1,11 @@
-import type { DispatchPolicy } from './dispatchPolicy.js';
 import type { FairQueue } from './fairQueue.js';
 import type { GrantTable, HeldGrant } from './grantTable.js';
 
 /** Chooses research jobs to checkpoint, so that urgent requests find a slot. */
 export interface MakeRoom {
 	/**
-	 * The job to stop for one urgent request.
+	 * The job to stop for one urgent request: of the team with the greatest lead, the one that started last. A job goes
+	 * on from its last checkpoint, so that one has the least work to lose.
 	 * @param hostsOfPools hosts that the urgent request may use
 	 * @returns `undefined` when none qualifies
 	 */
@@ -16,21 +16,9 @@
 	clear(): void;
 }
 
-/** Time over which displacements count as pressure on a host. */
-const PRESSURE_WINDOW_MS = 10_000;
-
 /** Creates the chooser. */
-export function createMakeRoom(policy: DispatchPolicy, grants: GrantTable, fair: FairQueue): MakeRoom {
+export function createMakeRoom(grants: GrantTable, fair: FairQueue): MakeRoom {
 	const pending = new Set<string>();
-	const displacedAt = new Map<string, number[]>();
-
-	const workOf = (held: HeldGrant, now: number): number => now - held.grantedAt;
-
-	const pressureOf = (host: string, now: number): number => {
-		const recent = (displacedAt.get(host) ?? []).filter(at => at > now - PRESSURE_WINDOW_MS);
-		displacedAt.set(host, recent);
-		return grants.countOfHost(host) + recent.length;
-	};
 
 	const victimsOn = (hosts: readonly string[]): readonly HeldGrant[] =>
 		hosts.flatMap(host =>
@@ -39,25 +27,18 @@
 			),
 		);
 
-	const ranks: Record<DispatchPolicy['victimChoice'], (held: HeldGrant, now: number) => number> = {
-		'least-work': workOf,
-		pressure: (held, now) => pressureOf(held.host, now) * 1e9 + workOf(held, now),
-	};
-
 	return {
 		chooseVictim: (hostsOfPools, now) => {
-			const rank = ranks[policy.victimChoice];
 			const leads = new Map<string, number>();
 			const ranked = victimsOn(hostsOfPools).map(held => {
 				const lead = leads.get(held.team) ?? fair.lead(held.team, now);
 				leads.set(held.team, lead);
-				return { held, lead, rank: rank(held, now) };
+				return { held, lead };
 			});
-			ranked.sort((left, right) => right.lead - left.lead || left.rank - right.rank);
+			ranked.sort((left, right) => right.lead - left.lead || right.held.grantedAt - left.held.grantedAt);
 			const victim = ranked[0]?.held;
 			if (victim !== undefined) {
 				pending.add(victim.grantId);
-				displacedAt.set(victim.host, [...(displacedAt.get(victim.host) ?? []), now]);
 			}
 			return victim;
 		},
@@ -74,7 +55,6 @@
 		},
 		clear: () => {
 			pending.clear();
-			displacedAt.clear();
 		},
 	};
 }
--- a/packages/dispatch/src/common/scheduler.ts
+++ b/packages/dispatch/src/common/scheduler.ts
@@ -2,6 +2,7 @@
 import type { PlacementRequest } from './dispatchMessages.js';
 import type { FairCandidate, FairQueue } from './fairQueue.js';
 import type { GrantTable } from './grantTable.js';
+import type { FullQueue } from './hostMoves.js';
 import type { HostTable } from './hostTable.js';
 import type { Placement } from './placement.js';
 import type { Takeover } from './takeover.js';
@@ -11,8 +12,8 @@
 export interface Scheduler {
 	/** The request that goes next and has a place; `undefined` when nothing can start. */
 	next(state: FleetState, now: number, leaseUntil: number): WaitingRequest | undefined;
-	/** Queues in which work of a team below its limit waits for a slot, with the pools that they may use. */
-	fullQueues(state: FleetState, now: number): ReadonlyMap<string, readonly string[]>;
+	/** Queues in which work of a team below its limit waits for a slot. */
+	fullQueues(state: FleetState, now: number): ReadonlyMap<string, FullQueue>;
 	/** Work that counts against a team: what is known, and every slot of the hosts in doubt. */
 	countedFor(team: string, now: number): number;
 	/** Urgent requests that wait for a slot since before `since` and whose team may displace research. */
@@ -87,7 +88,7 @@
 		countedFor,
 		hasPlace,
 		fullQueues: (state, now) => {
-			const full = new Map<string, readonly string[]>();
+			const full = new Map<string, FullQueue>();
 			for (const team of waiting.teams()) {
 				const head = anyHead(team);
 				if (head === undefined || !underLimit(state, head, now)) {
@@ -97,7 +98,10 @@
 					for (const { request } of waiting.heads(team, workClass)) {
 						const queue = state.queues[request.queue];
 						if (queue !== undefined && !full.has(request.queue) && !hasPlace(state, request)) {
-							full.set(request.queue, placement.poolsOf(queue));
+							full.set(request.queue, {
+								pools: placement.poolsOf(queue),
+								waiting: waiting.countOfQueue(request.queue),
+							});
 						}
 					}
 				}
--- a/packages/tools/src/common/experiment/variants.ts
+++ b/packages/tools/src/common/experiment/variants.ts
@@ -40,5 +40,4 @@
 	withPolicy('no-host-moves', { hostMoves: false }),
 	withPolicy('no-projection', { projectionMs: 0 }),
 	withPolicy('projection-0.5s', { projectionMs: 500 }),
-	withPolicy('pressure', { victimChoice: 'pressure' }),
 ];
