--- a/packages/standins/src/test/pageExamples.ts
+++ b/packages/standins/src/test/pageExamples.ts
@@ -137,9 +137,11 @@
 	const compared = Object.fromEntries(COMPARED_HEADERS.map(name => [name, headers[name]]));
 	const present = PRESENT_HEADERS.filter(name => headers[name] !== undefined);
 	const value = parseJson(body);
-	const isText = expectedBody !== '' && parseJson(expectedBody) === undefined;
-	const content = isText ? { lines: shownLines(body, expectedBody) } : { keys: keysOf(value), error: errorOf(value) };
-	return { status, ...compared, present, ...content };
+	const shown = parseJson(expectedBody);
+	if (expectedBody !== '' && shown === undefined) {
+		return { status, ...compared, present, lines: shownLines(body, expectedBody) };
+	}
+	return { status, ...compared, present, keys: keysOf(value), error: errorOf(value, shown) };
 }
 
 /** The lines of a text that the page shows, without the number at their end. */
@@ -149,12 +151,11 @@
 	return names(expectedBody).filter(line => found.has(line));
 }
 
-/** The kind and the outcome of an error; both are promises of the protocol. */
-function errorOf(value: unknown): unknown {
-	const error = (value as { error?: unknown } | undefined)?.error;
-	if (typeof error !== 'object' || error === null) {
-		return error;
-	}
-	const { kind, outcome } = error as { kind?: unknown; outcome?: unknown };
-	return { kind, outcome };
+/** The error with its kind, message and outcome. A message that the page ends with `...` is compared up to there. */
+function errorOf(value: unknown, shown: unknown): unknown {
+	const { error } = (value ?? {}) as { error?: { message?: unknown } };
+	const { message } = (shown as { error?: { message?: unknown } } | undefined)?.error ?? {};
+	const start = typeof message === 'string' && message.endsWith('...') ? message.slice(0, -3) : undefined;
+	const isShort = start !== undefined && typeof error?.message === 'string' && error.message.startsWith(start);
+	return isShort ? { ...error, message } : error;
 }
