--- a/packages/tools/src/node/fleet/ledgerReader.ts
+++ b/packages/tools/src/node/fleet/ledgerReader.ts
@@ -9,6 +9,8 @@
 	readonly host: string;
 	readonly atMs: number;
 	readonly mark?: string | undefined;
+	/** How the task ended; `dropped` by a reboot. */
+	readonly end?: string | undefined;
 }
 
 /** What the workers' own accounts say; independent of the counters of the system under test. */
@@ -19,8 +21,9 @@
 	readonly mostRunningOnOneWorker: number;
 	/** How often each mark was started. */
 	readonly startsByMark: ReadonlyMap<string, number>;
-	/** Starts by host, in order of time. */
+	/** Starts in order of time. */
 	readonly starts: readonly LedgerLine[];
+	readonly ends: readonly LedgerLine[];
 }
 
 /** Reads the ledgers of all workers, which must share one process and so one clock. */
@@ -55,5 +58,6 @@
 		mostRunningOnOneWorker,
 		startsByMark,
 		starts: lines.filter(line => line.event === 'start'),
+		ends: lines.filter(line => line.event === 'end'),
 	};
 }
