--- a/packages/tools/src/common/experiment/baselines.ts
+++ b/packages/tools/src/common/experiment/baselines.ts
@@ -33,6 +33,7 @@
 	const byTeam = new Map<string, number>();
 	const queuedAt = new Map<string, number>();
 	const down = new Set<string>();
+	const caps = new Map<string, number>();
 	let counter = 0;
 
 	const hostsOf = (queue: string): readonly Host[] =>
@@ -41,13 +42,15 @@
 		);
 	const freeOf = (host: Host): number => host.slots - (byHost.get(host.name) ?? 0);
 
-	const capOf = (team: string): number => {
-		const teams = Object.values(state?.teams ?? {});
-		const share = teams.reduce((sum, other) => sum + other.share, 0);
-		const slots = Object.values(state?.hosts ?? {}).reduce((sum, host) => sum + host.slots, 0);
-		const known = state?.teams[team];
-		const split = Math.max(1, Math.floor((slots * (known?.share ?? 0)) / share));
-		return Math.min(known?.limit ?? 0, name === 'static-split' ? split : Infinity);
+	/** Most tasks by team: the limit, and for `static-split` the team's part of the slots. */
+	const setCaps = (next: FleetState): void => {
+		const teams = Object.values(next.teams);
+		const share = teams.reduce((sum, team) => sum + team.share, 0);
+		const slots = Object.values(next.hosts).reduce((sum, host) => sum + host.slots, 0);
+		for (const team of teams) {
+			const split = Math.max(1, Math.floor((slots * team.share) / share));
+			caps.set(team.name, Math.min(team.limit, name === 'static-split' ? split : Infinity));
+		}
 	};
 
 	/** The first pool's host with the fewest running tasks; `undefined` when all are full. */
@@ -85,7 +88,7 @@
 				drop();
 				continue;
 			}
-			const mayRun = !blocked.has(place) && (byTeam.get(team) ?? 0) < capOf(team);
+			const mayRun = !blocked.has(place) && (byTeam.get(team) ?? 0) < (caps.get(team) ?? 0);
 			const host = mayRun ? placeFor(item) : undefined;
 			if (host === undefined) {
 				if (mayRun) {
@@ -128,6 +131,7 @@
 	} = {
 		configuration: message => {
 			state = message.state;
+			setCaps(message.state);
 		},
 		'host-list': ({ hosts }) => {
 			for (const [host, listed] of Object.entries(hosts)) {
