Open hosts added late in a lease and keep restarted workers fenced

Cause: a host added more than 60 s after the lease began was never entered in the takeover and got no start; a restarted worker, which names no term, was put in doubt and held back teams with small limits for up to 5 s. Change: every added host, and one with a new address, is fenced before its first start; a fenced worker that names a lower term stays fenced, because permits of earlier leaders name its older boot.

--- a/packages/dispatch/src/common/dispatcher.ts
+++ b/packages/dispatch/src/common/dispatcher.ts
@@ -39,7 +39,7 @@
 			polls.hostsAdded();
 		}
 		for (const host of added) {
-			takeover.addHost(host, now);
+			takeover.addHost(host);
 		}
 		for (const { request } of [...waiting.all()]) {
 			const refusal = admissionRefusal(next, cell, request);
--- a/packages/dispatch/src/common/hostTable.ts
+++ b/packages/dispatch/src/common/hostTable.ts
@@ -18,6 +18,7 @@
 
 /** The workers of the cell and where each team may have work. */
 export interface HostTable {
+	/** @returns the hosts that are new or have a new address */
 	configure(state: FleetState, now: number): { readonly added: readonly Host[] };
 	get(host: string): HostRecord | undefined;
 	records(): Iterable<HostRecord>;
@@ -96,7 +97,7 @@
 			const added: Host[] = [];
 			for (const host of hosts) {
 				const known = records.get(host.name);
-				if (known === undefined) {
+				if (known?.host.address !== host.address) {
 					added.push(host);
 				}
 				former.delete(host.name);
--- a/packages/dispatch/src/common/takeover.ts
+++ b/packages/dispatch/src/common/takeover.ts
@@ -9,8 +9,8 @@
 	/** Starts over for a new term; every worker is unfenced and every entry host unasked. */
 	begin(term: number, now: number, hosts: readonly Host[], entryHosts: readonly string[]): void;
 	end(): void;
-	/** A host that was added after the takeover began. */
-	addHost(host: Host, now: number): void;
+	/** A host that was added, or got another address, after the takeover began. */
+	addHost(host: Host): void;
 	/** @param seenTerm the term that the worker named */
 	workerAnswered(host: string, seenTerm: number): void;
 	workerSilent(host: string): void;
@@ -59,17 +59,19 @@
 			openEntryHosts.clear();
 			beganAt = -Infinity;
 		},
-		addHost: (host, now) => {
-			// Only an earlier leader that knew a newer configuration can have started work there.
-			if (!workers.has(host.name) && now < beganAt + IN_DOUBT_MS) {
-				workers.set(host.name, { host, state: 'in-doubt' });
-			}
+		addHost: host => {
+			// An earlier leader that knew a newer configuration may have started work there.
+			workers.set(host.name, { host, state: 'in-doubt' });
 		},
 		workerAnswered: (host, seenTerm) => {
 			const worker = workers.get(host);
-			if (worker !== undefined) {
-				worker.state = seenTerm === term ? 'fenced' : 'in-doubt';
+			if (worker === undefined) {
+				return;
 			}
+			// A fenced worker that names a lower term has restarted. Permits of earlier leaders name an older boot, so it
+			// stays fenced. A higher term means that another leader has taken over.
+			const restarted = worker.state === 'fenced' && seenTerm < term;
+			worker.state = seenTerm === term || restarted ? 'fenced' : 'in-doubt';
 		},
 		workerSilent: host => {
 			const worker = workers.get(host);
--- a/packages/dispatch/src/test/dispatcher.test.ts
+++ b/packages/dispatch/src/test/dispatcher.test.ts
@@ -64,6 +64,25 @@
 		expect(grantsOf(dispatcher.handle({ type: 'tick' }, 61_000)).map(grant => grant.requestId)).toEqual(['q1']);
 	});
 
+	it('opens a host that is added long after the lease began, once it is fenced', () => {
+		const state = createFleetFixture();
+		const { s1, ...others } = state.hosts;
+		const dispatcher = createReadyDispatcher({ ...state, hosts: others });
+		const added = dispatcher.handle({ type: 'configuration', state }, 100_000);
+		expect(ofType(added, 'fence-worker').map(effect => effect.host)).toContain(s1?.name);
+		const status = statusOf('s1', 100_001, 1);
+		dispatcher.handle({ type: 'worker-status', host: 's1', status, requestedAt: 100_000 }, 100_002);
+		expect(dispatcher.overview(100_002).hosts.s1?.state).toBe('open');
+	});
+
+	it('does not hold back small teams for a worker that restarted and forgot its term', () => {
+		const dispatcher = createReadyDispatcher();
+		const status = { ...statusOf('w1', 0, 0), boot: 'w1-2' };
+		dispatcher.handle({ type: 'worker-status', host: 'w1', status, requestedAt: 50 }, 51);
+		expect(dispatcher.overview(51).hosts.w1?.state).toBe('open');
+		expect(grantsOf(dispatcher.handle({ type: 'request', request: requestOf('amber', 'q1') }, 52))).toHaveLength(1);
+	});
+
 	it('frees a slot whose end was lost only by a status asked for after the latest start', () => {
 		const dispatcher = createReadyDispatcher();
 		const [grant] = grantsOf(dispatcher.handle({ type: 'request', request: requestOf('amber', 'q1') }, 2));
