Report service-level burn from the daemons

Cause: the daemons recorded nothing, and the command line had a report shape of its own. Change: every daemon counts ended requests per team and queue, the operator view merges the parts of all entry hosts, and the command line prints the text, the page and the view of one team from the burn package.

--- a/packages/cli/src/common/operatorClient.ts
+++ b/packages/cli/src/common/operatorClient.ts
@@ -1,7 +1,7 @@
+import type { BurnReport } from '@chestnutwheel/burn/common/burnReport.js';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
 import type {
-	BurnAnswer,
 	ExplainAnswer,
 	InForceAnswer,
 	JobsAnswer,
@@ -22,6 +22,6 @@
 	status(): Promise<StatusAnswer>;
 	jobs(): Promise<JobsAnswer>;
 	explain(kind: string, name: string): Promise<ExplainAnswer>;
-	burn(): Promise<BurnAnswer>;
+	burn(): Promise<BurnReport>;
 	close(): Promise<void>;
 }
--- a/packages/cli/src/node/commands/burn.ts
+++ b/packages/cli/src/node/commands/burn.ts
@@ -1,33 +1,31 @@
 import { writeFile } from 'node:fs/promises';
-import { burnPage, burnWindows, windowOf, windowText } from '../../common/burnPage.js';
-import { textTable } from '../../common/textTable.js';
+import { forTeam } from '@chestnutwheel/burn/common/burnReport.js';
+import { burnReportHtml } from '@chestnutwheel/burn/common/burnReportHtml.js';
+import { burnReportText } from '@chestnutwheel/burn/common/burnReportText.js';
 import { optionalArgument, type Command } from '../command.js';
 
-/** Shows how fast the error budgets of the queues are used. */
+/** Shows which objective burns, how fast, for whom, and what burnt it. */
 export const burn: Command = {
 	usage: '',
 	description: 'Show how fast each team and queue uses its error budget',
-	options: { html: { type: 'string', describe: 'Also write the report to this HTML file' } },
+	options: {
+		html: { type: 'string', describe: 'Also write the report to this HTML file' },
+		team: { type: 'string', describe: 'Only the view of this team, which holds nothing of another team' },
+	},
 	examples: [
-		['burn', 'the report as a table'],
+		['burn', 'the report as text'],
 		['burn --html burn.html', 'a page for others'],
+		['burn --team brewers --html brewers.html', 'a page that can be given to that team'],
 	],
 	run: async (context, given) => {
-		const answer = await context.client().burn();
+		const whole = await context.client().burn();
+		const team = optionalArgument(given, 'team');
+		const report = team === undefined ? whole : forTeam(whole, team);
 		const file = optionalArgument(given, 'html');
 		if (file !== undefined) {
-			await writeFile(file, burnPage(answer), 'utf8');
+			await writeFile(file, burnReportHtml(report), 'utf8');
 			context.progress(`wrote ${file}`);
 		}
-		const lengths = burnWindows(answer);
-		const rows = answer.rows.map(row => [
-			row.team,
-			row.queue,
-			row.target,
-			...lengths.map(length => windowOf(row, length)?.burnRate.toFixed(2)),
-			row.alarm,
-		]);
-		const head = ['TEAM', 'QUEUE', 'TARGET', ...lengths.map(length => windowText(length).toUpperCase()), 'ALARM'];
-		return { data: answer, text: textTable(head, rows, context.headStyle) };
+		return { data: report, text: burnReportText(report) };
 	},
 };
--- a/packages/cli/src/node/operatorClient.ts
+++ b/packages/cli/src/node/operatorClient.ts
@@ -32,7 +32,7 @@
 	status: 'daemon',
 	jobs: 'jobs',
 	explain: 'entries',
-	burn: 'rows',
+	burn: 'series',
 } as const;
 
 type CallName = keyof typeof answerFields;
--- a/packages/configuration/src/common/operatorProtocol.ts
+++ b/packages/configuration/src/common/operatorProtocol.ts
@@ -104,29 +104,3 @@
 export interface ExplainAnswer {
 	readonly entries: readonly ExplainEntry[];
 }
-
-/** Burn of one objective over one window. */
-export interface BurnWindow {
-	readonly windowMs: number;
-	readonly good: number;
-	readonly bad: number;
-	/** Rate at which the error budget is used; 1 uses it up exactly in the period of the objective. */
-	readonly burnRate: number;
-}
-
-/** Burn of one team in one queue. */
-export interface BurnRow {
-	readonly team: string;
-	readonly queue: string;
-	readonly latencyMs: number;
-	readonly target: number;
-	readonly windows: readonly BurnWindow[];
-	readonly alarm: 'none' | 'slow-burn' | 'fast-burn';
-}
-
-/** Answer of `GET /operator/burn`. */
-export interface BurnAnswer {
-	/** Wall clock of the daemon, in milliseconds since 1970; for display only. */
-	readonly at: number;
-	readonly rows: readonly BurnRow[];
-}
--- a/packages/daemon/src/common/peerProtocol.ts
+++ b/packages/daemon/src/common/peerProtocol.ts
@@ -1,3 +1,4 @@
+import type { BurnPart } from '@chestnutwheel/burn/common/burnRecorder.js';
 import type { ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
 import type { CellStatus, ExplainAnswer, JobStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import type { AttemptOutcome, Grant, WorkClass } from '@chestnutwheel/dispatch/common/dispatchMessages.js';
@@ -104,9 +105,6 @@
 	readonly view: ViewReport;
 }
 
-/** One daemon's part of the burn report. */
-export type BurnPart = unknown;
-
 /** The leader answers a placement request within this time, so that a silent connection shows. */
 export const WAIT_SLICE_MS = 800;
 
--- a/packages/daemon/src/node/burn/burnTask.ts
+++ b/packages/daemon/src/node/burn/burnTask.ts
@@ -1,16 +1,15 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
-import type { BurnAnswer } from '@chestnutwheel/configuration/common/operatorProtocol.js';
+import { createBurnRecorder, type BurnPart, type EndedRequest } from '@chestnutwheel/burn/common/burnRecorder.js';
+import { createBurnReport, type BurnReport } from '@chestnutwheel/burn/common/burnReport.js';
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
-import type { BurnPart } from '../../common/peerProtocol.js';
-import type { RequestEnded } from '../entry/callerService.js';
 
 /** Records ended requests for the report on service-level burn. */
 export interface BurnTask {
-	record(ended: RequestEnded): void;
+	record(ended: EndedRequest): void;
 	/** This daemon's part of the report. */
 	part(): BurnPart;
-	/** Merges the parts of all entry hosts. */
-	merge(parts: readonly BurnPart[]): BurnAnswer;
+	/** Merges the parts of the entry hosts that have answered. */
+	merge(parts: readonly BurnPart[]): BurnReport;
 }
 
 /** What the task needs. */
@@ -20,10 +19,14 @@
 }
 
 /** Creates the task. */
-export function createBurnTask(options: BurnTaskOptions): BurnTask {
+export function createBurnTask({ clock, state }: BurnTaskOptions): BurnTask {
+	const recorder = createBurnRecorder();
 	return {
-		record: () => void options.clock.now(),
-		part: () => ({}),
-		merge: () => ({ at: options.clock.wallNow(), rows: [] }),
+		record: ended => recorder.record(ended, state().queues[ended.queue]?.objective, clock.now()),
+		part: () => recorder.part(clock.now()),
+		merge: parts => {
+			const queues = Object.values(state().queues);
+			return createBurnReport(parts, Object.fromEntries(queues.map(queue => [queue.name, queue.objective])));
+		},
 	};
 }
--- a/packages/daemon/src/node/operator/controlService.ts
+++ b/packages/daemon/src/node/operator/controlService.ts
@@ -1,10 +1,11 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
+import type { BurnPart } from '@chestnutwheel/burn/common/burnRecorder.js';
+import type { BurnReport } from '@chestnutwheel/burn/common/burnReport.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import type { FleetState, NoteVerdict } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { LogClient } from '@chestnutwheel/platform/common/logProtocol.js';
 import type {
-	BurnAnswer,
 	CellStatus,
 	ExplainAnswer,
 	InForceAnswer,
@@ -14,7 +15,7 @@
 	StatusAnswer,
 } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
-import type { BurnPart, PeerMethods, PeerStatus } from '../../common/peerProtocol.js';
+import type { PeerMethods, PeerStatus } from '../../common/peerProtocol.js';
 import { CONTROL_STREAM } from '../control/controlReader.js';
 import type { CellCalls } from '../peers/cellCalls.js';
 import type { PeerServer } from '../peers/peerServer.js';
@@ -63,7 +64,7 @@
 	readonly health: () => Health;
 	readonly leaderOf: (cell: string) => string | undefined;
 	/** Merges the burn reports of all entry hosts. */
-	readonly mergeBurn: (parts: readonly BurnPart[]) => BurnAnswer;
+	readonly mergeBurn: (parts: readonly BurnPart[]) => BurnReport;
 }
 
 /** A call for operators may take longer than one between daemons. */
@@ -109,7 +110,7 @@
 
 	const notes = (): Promise<NotesAnswer> => Promise.resolve({ verdicts: state().verdicts });
 
-	const burn = async (): Promise<BurnAnswer> => {
+	const burn = async (): Promise<BurnReport> => {
 		const answers = await askAll(name => calls.toEntryHost(name, 'operator.burn', {}, OPERATOR_CALL_TIMEOUT_MS));
 		return options.mergeBurn(answers.flatMap(answer => (answer === undefined ? [] : [answer.part])));
 	};
