--- a/packages/tools/src/node/measureCapacity.ts
+++ b/packages/tools/src/node/measureCapacity.ts
@@ -6,6 +6,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { foldFleet, type CapacityFleet } from '../common/capacityFleet.js';
+import { foldJobs, foldRequestKeys } from '../common/capacityWork.js';
 import { fitLine, type CapacityPoint } from '../common/capacityFit.js';
 import {
 	measureChange,
@@ -27,12 +28,12 @@
 const base: CapacityFleet = { workers: 500, pools: 10, teams: 10, keys: 10 };
 
 /** Heap and resident memory that a folded state adds; each point runs in a process of its own. */
-function memoryOf(fleet: CapacityFleet): Readonly<Record<string, number>> {
+function memoryOf(fold: () => { readonly offset: number }): Readonly<Record<string, number>> {
 	setFlagsFromString('--expose-gc');
 	const collect = runInNewContext('gc') as () => void;
 	collect();
 	const before = process.memoryUsage();
-	const state = foldFleet(fleet);
+	const state = fold();
 	collect();
 	const after = process.memoryUsage();
 	// Reading the state after the measurement keeps it from being collected before.
@@ -51,11 +52,33 @@
 	'state by workers': {
 		sizes: [2_500, 5_000, 10_000, 20_000],
 		perSize: 'worker',
-		measure: workers => memoryOf({ ...base, workers }),
+		measure: workers => memoryOf(() => foldFleet({ ...base, workers })),
+	},
+	'state by pools': {
+		sizes: [500, 2_000, 8_000],
+		perSize: 'pool',
+		measure: pools => memoryOf(() => foldFleet({ ...base, pools })),
+	},
+	'state by teams': {
+		sizes: [500, 2_000, 8_000],
+		perSize: 'team',
+		measure: teams => memoryOf(() => foldFleet({ ...base, teams })),
+	},
+	'state by keys': {
+		sizes: [500, 2_000, 8_000],
+		perSize: 'key',
+		measure: keys => memoryOf(() => foldFleet({ ...base, keys })),
+	},
+	'waiting jobs with 256 bytes of payload': {
+		sizes: [1_000, 5_000, 20_000],
+		perSize: 'job',
+		measure: jobs => memoryOf(() => foldJobs(jobs)),
+	},
+	'request keys': {
+		sizes: [2_000, 20_000, 100_000],
+		perSize: 'key',
+		measure: keys => memoryOf(() => foldRequestKeys(keys)),
 	},
-	'state by pools': { sizes: [500, 2_000, 8_000], perSize: 'pool', measure: pools => memoryOf({ ...base, pools }) },
-	'state by teams': { sizes: [500, 2_000, 8_000], perSize: 'team', measure: teams => memoryOf({ ...base, teams }) },
-	'state by keys': { sizes: [500, 2_000, 8_000], perSize: 'key', measure: keys => memoryOf({ ...base, keys }) },
 	'one configuration change': {
 		sizes: [2_000, 10_000, 20_000],
 		perSize: 'worker of the fleet',
@@ -92,6 +115,7 @@
 	.options({
 		output: { type: 'string', describe: 'file for the figures as JSON' },
 		repeats: { type: 'number', default: 3, describe: 'processes per size' },
+		rows: { type: 'string', array: true, describe: 'quantities to measure; all when left out' },
 		only: { type: 'string', hidden: true },
 		size: { type: 'number', hidden: true },
 	})
@@ -102,7 +126,8 @@
 	// A child measures one point and prints it.
 	process.stdout.write(JSON.stringify(quantities[options.only]?.measure(options.size)));
 } else {
-	const rows = Object.entries(quantities).flatMap(([name, { sizes, perSize }]) => {
+	const selected = Object.entries(quantities).filter(([name]) => options.rows?.includes(name) ?? true);
+	const rows = selected.flatMap(([name, { sizes, perSize }]) => {
 		const points = sizes.flatMap(size =>
 			Array.from({ length: options.repeats }, () => {
 				const child = [fileURLToPath(import.meta.url), '--only', name, '--size', `${size}`];
