--- a/packages/tools/src/common/experiment/baselines.ts
+++ b/packages/tools/src/common/experiment/baselines.ts
@@ -55,10 +55,11 @@
 
 	/** The first pool's host with the fewest running tasks; `undefined` when all are full. */
 	const placeFor = (item: Waiting): Host | undefined => {
-		const hosts = hostsOf(item.request.queue).filter(host => freeOf(host) > 0);
 		if (item.host !== undefined) {
-			return hosts.find(host => host.name === item.host);
+			const own = down.has(item.host) ? undefined : state?.hosts[item.host];
+			return own !== undefined && freeOf(own) > 0 ? own : undefined;
 		}
+		const hosts = hostsOf(item.request.queue).filter(host => freeOf(host) > 0);
 		const pool = hosts[0]?.pool;
 		return hosts.filter(host => host.pool === pool).sort((left, right) => freeOf(right) - freeOf(left))[0];
 	};
