Feed request results to waves and answer waiting calls when a lease is lost

Cause: no wave stopped for failing returned hosts, calls that waited at a leader learnt of a lost lease only after their slice of 800 ms, and jobs found after a failover could not be checkpointed. Change: ends of attempts carry their host, waiting calls are refused as no-leader when the lease is lost, and jobs found on workers count as research.

--- a/packages/daemon/src/common/peerProtocol.ts
+++ b/packages/daemon/src/common/peerProtocol.ts
@@ -44,6 +44,8 @@
 /** The end of one attempt. */
 export interface FinishedAttempt {
 	readonly grantId: string;
+	/** Host on which the attempt ran. */
+	readonly host: string;
 	readonly outcome: AttemptOutcome;
 	/** Present when the request may not be repeated. */
 	readonly onlyOnce?: OnlyOnce | undefined;
--- a/packages/daemon/src/node/entry/requestRunner.ts
+++ b/packages/daemon/src/node/entry/requestRunner.ts
@@ -82,6 +82,7 @@
 		options.held.drop(progress.cell, grant.grantId);
 		options.reporter.report(progress.cell, {
 			grantId: grant.grantId,
+			host: grant.host,
 			outcome,
 			onlyOnce: progress.onlyOnce,
 			team: progress.principal.team,
--- a/packages/daemon/src/node/leader/cellLeader.ts
+++ b/packages/daemon/src/node/leader/cellLeader.ts
@@ -109,6 +109,9 @@
 
 	const finishOne = (attempt: FinishedAttempt): void => {
 		dispatch.finished(attempt.grantId, attempt.outcome);
+		if (attempt.outcome === 'succeeded' || attempt.outcome === 'failed') {
+			waves.send({ type: 'host-result', host: attempt.host, succeeded: attempt.outcome === 'succeeded' });
+		}
 		if (attempt.onlyOnce !== undefined && attempt.final) {
 			work.requestEnded(attempt);
 		}
@@ -123,8 +126,9 @@
 				work.notLeading();
 				return;
 			}
-			dispatch.send({ type: 'lease-held', term: held.term, until: held.until });
+			// The wave driver goes first: hosts that dispatch sets aside under the new lease must not be lost on it.
 			waves.send({ type: 'leading', term: held.term, until: held.until });
+			dispatch.send({ type: 'lease-held', term: held.term, until: held.until });
 			work.leading(held);
 		},
 		configurationChanged: ({ state, verdicts }) => {
--- a/packages/daemon/src/node/leader/dispatchTask.ts
+++ b/packages/daemon/src/node/leader/dispatchTask.ts
@@ -162,6 +162,12 @@
 		if (signal.aborted) {
 			return;
 		}
+		if (message.type === 'lease-lost') {
+			// The dispatcher forgets what waits; the entry hosts ask the next leader.
+			for (const resolve of [...waiters.values()]) {
+				resolve({ state: 'refused', kind: 'no-leader', reason: 'this daemon has lost the lease of the cell' });
+			}
+		}
 		for (const effect of dispatcher.handle(message, clock.now())) {
 			(effectHandlers[effect.type] as (effect: DispatchEffect) => void)(effect);
 		}
--- a/packages/dispatch/src/common/grantTable.ts
+++ b/packages/dispatch/src/common/grantTable.ts
@@ -120,7 +120,8 @@
 		team: task.team,
 		queue: task.queue,
 		kind: task.kind,
-		class: undefined,
+		// Long jobs are always research; the class of a request is known to its own leader alone.
+		class: task.kind === 'job' ? 'research' : undefined,
 		term: task.term,
 		boot: undefined,
 		grantedAt: now,
