Explain requests, hosts, jobs and notes, and name bad settings by their key

Cause: explain found nothing about requests, waiting jobs, hosts set aside and notes, since the subjects had no kind; errors to callers had no request id; an unknown key in the settings was reported for the whole file; 0x1F4 passed as a deadline. Change: subjects carry their kind, each daemon records when a note came into force, errors after admission carry x-request-id, settings name the key, its line and what is allowed, entry host names follow the rule of release notes.

--- a/packages/base/src/common/kindError.ts
+++ b/packages/base/src/common/kindError.ts
@@ -32,6 +32,12 @@
 	return isErrorKind(kind) ? kind : 'internal';
 }
 
+/** A plain value that was put into an error's details; `undefined` when there is none. */
+export function detailOf(error: unknown, name: string): string | number | boolean | undefined {
+	const details: unknown = error instanceof Error ? VError.info(error).details : undefined;
+	return (details as KindErrorOptions['details'])?.[name];
+}
+
 /** The answer from the one table for any thrown value. */
 export function answerOf(error: unknown): ErrorAnswer {
 	return errorAnswers[kindOf(error)];
--- a/packages/base/src/node/parseYamlSettings.ts
+++ b/packages/base/src/node/parseYamlSettings.ts
@@ -28,14 +28,30 @@
 	if (parsed.success) {
 		return parsed.data;
 	}
-	const lines = parsed.error.issues.map(issue => {
-		const path = issue.path.map(String);
-		const found = valueAt(value, path);
-		return `${source.file}:${lineOf(document, lineCounter, path)}: ${path.join('.') || '(whole file)'}: found ${describe(found)}; ${issue.message}`;
+	const lines = parsed.error.issues.flatMap(problemsOf).map(({ path, message }) => {
+		const found = describe(valueAt(value, path));
+		const line = lineOf(document, lineCounter, path);
+		return `${source.file}:${line}: ${path.join('.') || '(whole file)'}: found ${found}; ${message}`;
 	});
 	throw kindError(source.errorKind, lines.join('\n'));
 }
 
+interface Problem {
+	readonly path: readonly string[];
+	readonly message: string;
+}
+
+/** Names each unknown key by itself, since the schema reports them for the mapping that holds them. */
+function problemsOf(issue: z.core.$ZodIssue): readonly Problem[] {
+	const path = issue.path.map(String);
+	return issue.code === 'unrecognized_keys'
+		? issue.keys.map(key => ({
+				path: [...path, key],
+				message: 'this key is unknown; allowed: only the documented keys',
+			}))
+		: [{ path, message: issue.message }];
+}
+
 function valueAt(value: unknown, path: readonly string[]): unknown {
 	return path.reduce<unknown>(
 		(inner, key) =>
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -32,6 +32,7 @@
 import { createControlService, type Health } from './operator/controlService.js';
 import { createLatencyRecorder } from './operator/latencyRecorder.js';
 import { createNetworkMeter } from './operator/networkMeter.js';
+import { explainNotes } from './operator/noteExplanations.js';
 import { createNoteSubmission } from './operator/noteSubmission.js';
 import { createCellCalls } from './peers/cellCalls.js';
 import { createPeerClient } from './peers/peerClient.js';
@@ -132,6 +133,7 @@
 		},
 		signal,
 	);
+	explainNotes(controlState, explanations, self, signal);
 	const held = createHeldGrants();
 	const reporter = createFinishReporter(calls, clock, counters, signal);
 	const burn = createBurnTask({ clock, state });
--- a/packages/daemon/src/node/edges/errorFilter.ts
+++ b/packages/daemon/src/node/edges/errorFilter.ts
@@ -1,6 +1,6 @@
 import { Catch, HttpException, type ArgumentsHost, type ExceptionFilter } from '@nestjs/common';
 import { errorAnswers, type ErrorKind } from '@chestnutwheel/base/common/errorKinds.js';
-import { kindOf, messageOf } from '@chestnutwheel/base/common/kindError.js';
+import { detailOf, kindOf, messageOf } from '@chestnutwheel/base/common/kindError.js';
 
 /** Seconds after which a caller may try again when the error kind allows it. */
 const RETRY_AFTER_SECONDS = 1;
@@ -27,6 +27,10 @@
 	catch(error: unknown, host: ArgumentsHost): void {
 		const reply = host.switchToHttp().getResponse<ErrorReply>();
 		const kind = kindOfEdgeError(error);
+		const requestId = detailOf(error, 'requestId');
+		if (requestId !== undefined) {
+			reply.header('x-request-id', String(requestId));
+		}
 		// Errors without a kind are programming errors; their text may hold payloads.
 		sendError(reply, kind, kind === 'internal' ? 'internal error' : messageOf(error));
 	}
--- a/packages/daemon/src/node/entry/callerHeaders.ts
+++ b/packages/daemon/src/node/entry/callerHeaders.ts
@@ -81,7 +81,7 @@
 			`${callerHeaderNames.deadline} is required; allowed: 1 to ${MAXIMUM_DEADLINE_MS} milliseconds`,
 		);
 	}
-	const remainingMs = Number(value);
+	const remainingMs = /^\d+$/.test(value) ? Number(value) : Number.NaN;
 	if (!Number.isInteger(remainingMs) || remainingMs < 1 || remainingMs > MAXIMUM_DEADLINE_MS) {
 		throw invalid(callerHeaderNames.deadline, value, `a whole number from 1 to ${MAXIMUM_DEADLINE_MS}`);
 	}
--- a/packages/daemon/src/node/entry/requestRunner.ts
+++ b/packages/daemon/src/node/entry/requestRunner.ts
@@ -142,8 +142,9 @@
 
 	/** Replaces a kind that says "not run" when an earlier attempt may have run. */
 	const truthful = (progress: RequestProgress, kind: ErrorKind, message: string): Error => {
+		const details = { requestId: progress.requestId };
 		if (!progress.mayHaveRun || errorAnswers[kind].outcome !== 'not-run') {
-			return kindError(kind, message);
+			return kindError(kind, message, { details });
 		}
 		return kindError(
 			'endpoint-failed',
--- a/packages/daemon/src/node/leader/work/workTask.ts
+++ b/packages/daemon/src/node/leader/work/workTask.ts
@@ -89,7 +89,7 @@
 	});
 
 	const place = ({ job, avoidHosts }: Extract<JobEffect, { type: 'place-job' }>): void => {
-		const requestId = `job-${job.jobId}.${lease()?.term ?? 0}.${placementCount++}`;
+		const requestId = `${job.jobId}.${lease()?.term ?? 0}.${placementCount++}`;
 		placements.set(job.jobId, requestId);
 		dispatch.place(
 			{
--- a/packages/daemon/src/test/settings.test.ts
+++ b/packages/daemon/src/test/settings.test.ts
@@ -104,12 +104,14 @@
 describe('wrong settings', () => {
 	it.each([
 		['callerAddress', 'localhost:8080', 'callerAddress', 'an IP number and a port'],
-		['entryHost', 'Entry_1', 'entryHost', 'lower-case letters'],
+		['entryHost', '1-entry', 'entryHost', 'a letter, then up to 62 letters'],
+		['controlAddress', '999.1.1.1:7101', 'controlAddress', 'an IP number and a port'],
+		['controlAddress', '10.0.0.1:99999', 'controlAddress', 'a port up to 65535'],
 		['operatorKeySha256', 'abc', 'operatorKeySha256', '64 lower-case hexadecimal digits'],
 		['log', 'https://log.example:7300', 'platform.log', 'http:// with an IP number and a port'],
 		['logRetentionHours', 'a week', 'platform.logRetentionHours', 'a number from 1 to 8760'],
 		['logLevel', 'loud', 'logLevel', 'debug, info, warn or error'],
-		['balancerDelayMs', 'soon', 'balancerDelayMs', 'a number from 0 to 60000'],
+		['balancerDelayMs', 'soon', 'balancerDelayMs', 'a whole number from 0 to 60000'],
 	])('in %s: %s are reported with file, line, key, what was found and what is allowed', (key, value, path, allowed) => {
 		const text = withValue(key, value);
 		const problem = problemOf(text);
@@ -122,7 +124,8 @@
 	});
 
 	it('with a key that does not exist are refused by its name', () => {
-		expect(problemOf(`${example}speed: 3\n`)).toContain('"speed"');
+		const text = `${example}speed: 3\n`;
+		expect(problemOf(text)).toContain(`entry-1.yaml:${lineOf(text, 'speed')}: speed: found 3; this key is unknown`);
 	});
 
 	it('end a check with exit code 78 and the message alone', () => {
--- a/packages/dispatch/src/common/dispatcher.ts
+++ b/packages/dispatch/src/common/dispatcher.ts
@@ -3,7 +3,7 @@
 import { createCellContext, type DispatcherOptions, type Emit } from './cellContext.js';
 import type { DispatchEffect, DispatchMessage, Dispatcher } from './dispatchMessages.js';
 import { CLOCK_RATE_MARGIN, END_MARGIN_MS, JOB_LEASE_MS, LONGEST_REQUEST_MS } from './dispatchPolicy.js';
-import { createGranting, refuse } from './granting.js';
+import { createGranting, refuse, subjectOf } from './granting.js';
 import { createRelief } from './relief.js';
 import { OPEN_SHARE, OPEN_TEAM, teamName } from './teamName.js';
 import type { WaitingRequest } from './waitingQueues.js';
@@ -69,7 +69,12 @@
 		if (!readyReported && context.mayGrant(now)) {
 			readyReported = true;
 			const inDoubt = takeover.inDoubt(now).length;
-			emit({ type: 'explained', subject: cell, reason: 'takeover-ready', details: { term: lease.term, inDoubt } });
+			emit({
+				type: 'explained',
+				subject: `cell/${cell}`,
+				reason: 'takeover-ready',
+				details: { term: lease.term, inDoubt },
+			});
 		}
 	};
 
@@ -119,7 +124,7 @@
 				? 'waits-for-limit'
 				: slotReason;
 		const details = { queue, counted, limit: limit ?? 'none', waiting: waiting.countOfQueue(queue) };
-		emit({ type: 'explained', subject: requestId, reason, details });
+		emit({ type: 'explained', subject: subjectOf(item.request), reason, details });
 	};
 
 	const handlers: HandlerTable = {
--- a/packages/dispatch/src/common/granting.ts
+++ b/packages/dispatch/src/common/granting.ts
@@ -16,15 +16,25 @@
 	ended(held: HeldGrant, outcome: AttemptOutcome | 'gone', now: number, emit: Emit): void;
 }
 
+/** Under which name `explain` finds the decisions on a request or job; the attempts of one request share a prefix. */
+export function subjectOf({ kind, requestId }: Pick<PlacementRequest, 'kind' | 'requestId'>): string {
+	return `${kind}/${requestId}`;
+}
+
 /** Reports a refusal to the entry host and to `explain`. */
 export function refuse(
 	emit: Emit,
-	request: Pick<PlacementRequest, 'requestId' | 'entryHost' | 'queue'>,
+	request: Pick<PlacementRequest, 'requestId' | 'entryHost' | 'queue' | 'kind'>,
 	refusal: Refusal,
 ): void {
 	const { requestId, entryHost, queue } = request;
 	emit({ type: 'refused', requestId, entryHost, ...refusal });
-	emit({ type: 'explained', subject: requestId, reason: refusal.reason, details: { kind: refusal.kind, queue } });
+	emit({
+		type: 'explained',
+		subject: subjectOf(request),
+		reason: refusal.reason,
+		details: { kind: refusal.kind, queue },
+	});
 }
 
 /** Creates the granting step of a cell. */
@@ -41,7 +51,7 @@
 				? { type: 'host-set-aside', host, reason: change.reason }
 				: { type: 'host-taken-back', host },
 		);
-		emit({ type: 'explained', subject: host, reason: change.type, details: { cause: change.reason } });
+		emit({ type: 'explained', subject: `host/${host}`, reason: change.type, details: { cause: change.reason } });
 	};
 
 	const grant = (item: WaitingRequest, place: Place, now: number, emit: Emit): void => {
@@ -100,7 +110,7 @@
 		}
 		emit({ type: 'granted', grant: result, waitedMs });
 		const reason = place.probe ? 'granted-as-probe' : 'granted';
-		emit({ type: 'explained', subject: request.requestId, reason, details: { host: host.name, waitedMs } });
+		emit({ type: 'explained', subject: subjectOf(request), reason, details: { host: host.name, waitedMs } });
 	};
 
 	return {
