Replay recorded messages of the dispatcher and check every trace file

The replay command takes the unit dispatcher, whose messages are replayed one by one, and the model dispatcher-interleaving, as which the traces of the dispatch package now state their outcome. A model's outcome can stand in the first line, since the test of these traces reads every other line as a step. Fields of a stepped unit's result can be compared, and a call that throws is a difference.

--- a/packages/tools/src/node/replayTrace.ts
+++ b/packages/tools/src/node/replayTrace.ts
@@ -1,4 +1,5 @@
 import { isDeepStrictEqual } from 'node:util';
+import { messageOf } from '@chestnutwheel/base/common/kindError.js';
 import { steppedUnits, wholeModels, type TraceHeader } from './replayUnits.js';
 
 /** The first place where a trace and the code differ. */
@@ -41,17 +42,20 @@
 	if (first === undefined || typeof unit !== 'string') {
 		return differsAt(1, 'the first line names no unit');
 	}
-	if (!rest.some(line => isOutcome(line))) {
+	const isStepped = Object.hasOwn(steppedUnits, unit);
+	if (!isStepped && !Object.hasOwn(wholeModels, unit)) {
+		return differsAt(first.number, `there is no unit '${unit}'`);
+	}
+	// The first line of a stepped unit follows no event, so only a model can state its outcome there.
+	if (!(isStepped ? rest : lines).some(isOutcome)) {
 		return differsAt(first.number, 'the trace states no outcome');
 	}
 	const header = first.content as TraceHeader;
-	if (Object.hasOwn(steppedUnits, unit)) {
-		return replaySteps(header, rest);
-	}
-	if (Object.hasOwn(wholeModels, unit)) {
-		return replayModel(header, rest);
+	try {
+		return isStepped ? replaySteps(header, rest) : replayModel(header, lines);
+	} catch (error) {
+		return differsAt(first.number, `the unit failed: ${messageOf(error)}`);
 	}
-	return differsAt(first.number, `there is no unit '${unit}'`);
 }
 
 function replaySteps(header: TraceHeader, lines: readonly Line[]): TraceResult {
@@ -59,11 +63,14 @@
 	let returned: unknown;
 	let events = 0;
 	let outcomes = 0;
-	for (const { number, content } of lines) {
-		if ('returns' in content) {
+	for (const line of lines) {
+		const { number, content } = line;
+		if (isOutcome(line)) {
 			outcomes++;
-			if (!isDeepStrictEqual(returned, content.returns)) {
-				return { events, outcomes, difference: { line: number, reason: explain(content.returns, returned) } };
+			const reason =
+				'returns' in content ? compare(content.returns, returned) : compareFields(content.outcome, returned);
+			if (reason !== undefined) {
+				return { events, outcomes, difference: { line: number, reason } };
 			}
 			continue;
 		}
@@ -76,47 +83,66 @@
 			return { events, outcomes, difference: { line: number, reason: `the unit has no call '${call}'` } };
 		}
 		events++;
-		returned = plain(method(at, ...(parameters as never[])));
+		try {
+			returned = plain(method(at, ...(parameters as never[])));
+		} catch (error) {
+			return { events, outcomes, difference: { line: number, reason: `the call failed: ${messageOf(error)}` } };
+		}
 	}
 	return { events, outcomes, difference: undefined };
 }
 
 function replayModel(header: TraceHeader, lines: readonly Line[]): TraceResult {
-	const events = lines.filter(line => !isOutcome(line)).map(line => line.content);
-	const result = plain(wholeModels[header.unit]?.(header, events)) as Readonly<Record<string, unknown>>;
+	const events = lines.slice(1).filter(line => !isOutcome(line));
+	const contents = events.map(line => line.content);
+	const result = plain(wholeModels[header.unit]?.(header, contents));
 	let outcomes = 0;
 	for (const { number, content } of lines.filter(isOutcome)) {
 		outcomes++;
-		const stated = parseOutcome(content.outcome);
-		for (const [name, value] of Object.entries(stated ?? {})) {
-			if (!isDeepStrictEqual(result[name], value)) {
-				const reason = `${name}: ${explain(value, result[name])}`;
-				return { events: events.length, outcomes, difference: { line: number, reason } };
-			}
-		}
-		if (stated === undefined) {
-			return { events: events.length, outcomes, difference: { line: number, reason: 'the outcome is no object' } };
+		const reason = compareFields(content.outcome, result);
+		if (reason !== undefined) {
+			return { events: events.length, outcomes, difference: { line: number, reason } };
 		}
 	}
 	return { events: events.length, outcomes, difference: undefined };
 }
 
+/** Compares a whole result. @returns the difference, if any */
+function compare(stated: unknown, found: unknown): string | undefined {
+	return isDeepStrictEqual(found, stated)
+		? undefined
+		: `stated ${JSON.stringify(stated)}, found ${JSON.stringify(found)}`;
+}
+
+/** Compares the stated fields of a result, each as a whole. @returns the first difference, if any */
+function compareFields(stated: unknown, found: unknown): string | undefined {
+	if (!isObject(stated) || Object.keys(stated).length === 0) {
+		return 'the outcome is no object with fields';
+	}
+	if (!isObject(found)) {
+		return 'the result has no fields to compare';
+	}
+	for (const [name, value] of Object.entries(stated)) {
+		const reason = compare(value, found[name]);
+		if (reason !== undefined) {
+			return `${name}: ${reason}`;
+		}
+	}
+	return undefined;
+}
+
 function isOutcome({ content }: Line): boolean {
 	return 'returns' in content || 'outcome' in content;
 }
 
-function parseOutcome(outcome: unknown): Readonly<Record<string, unknown>> | undefined {
-	return typeof outcome === 'object' && outcome !== null && Object.keys(outcome).length > 0
-		? (outcome as Readonly<Record<string, unknown>>)
-		: undefined;
+function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
 function parseObject(line: string): Readonly<Record<string, unknown>> | undefined {
 	try {
 		const value: unknown = JSON.parse(line);
-		return typeof value === 'object' && value !== null && !Array.isArray(value)
-			? (value as Readonly<Record<string, unknown>>)
-			: undefined;
+		return isObject(value) ? value : undefined;
 	} catch {
 		return undefined;
 	}
@@ -127,10 +153,6 @@
 	return value === undefined ? null : (JSON.parse(JSON.stringify(value)) as unknown);
 }
 
-function explain(stated: unknown, found: unknown): string {
-	return `stated ${JSON.stringify(stated)}, found ${JSON.stringify(found)}`;
-}
-
 function differsAt(line: number, reason: string): TraceResult {
 	return { events: 0, outcomes: 0, difference: { line, reason } };
 }
--- a/packages/tools/src/node/replayUnits.ts
+++ b/packages/tools/src/node/replayUnits.ts
@@ -1,4 +1,9 @@
 import { createSeededRandom } from '@chestnutwheel/base/common/seededRandom.js';
+import { emptyFleetState } from '@chestnutwheel/configuration/common/fleetState.js';
+import type { DispatchMessage } from '@chestnutwheel/dispatch/common/dispatchMessages.js';
+import { createDispatcher } from '@chestnutwheel/dispatch/common/dispatcher.js';
+import { runInterleaving } from '@chestnutwheel/dispatch/test/interleaving.js';
+import type { Step } from '@chestnutwheel/dispatch/test/interleavingStep.js';
 import { createLeaseHolder, type HolderContext } from '@chestnutwheel/membership/common/leaseHolder.js';
 import type {
 	DaemonIdentity,
@@ -75,6 +80,18 @@
 			report: now => view.report(now),
 		};
 	},
+	dispatcher: header => {
+		const { cell, seed } = header;
+		if (typeof cell !== 'string' || typeof seed !== 'number') {
+			throw new Error('the first line names no cell or no seed');
+		}
+		const dispatcher = createDispatcher({ cell, random: createSeededRandom(seed) });
+		return {
+			handle: (now, message: DispatchMessage) => dispatcher.handle(completeMessage(message), now),
+			nextTickAt: () => dispatcher.nextTickAt(),
+			overview: now => dispatcher.overview(now),
+		};
+	},
 	'request-recorder': header => {
 		const ledger = createWorkLedger({ cell: header.cell as string });
 		const recorder = createRequestRecorder({ ledger });
@@ -106,6 +123,12 @@
 export const wholeModels: Readonly<Record<string, (header: TraceHeader, events: readonly unknown[]) => object>> = {
 	'lease-cluster': (header, events) =>
 		runLeaseCluster(header as unknown as ClusterOptions, events as readonly ClusterEvent[]),
+	'dispatcher-interleaving': (header, events) => runInterleaving(header.seed as number, events as readonly Step[]),
 	'request-model': (_header, events) => runRequestModel(events as readonly RequestStep[]),
 	'job-model': (_header, events) => runJobModel(events as readonly JobStep[]),
 };
+
+/** A trace may leave out the empty parts of a fleet state. */
+function completeMessage(message: DispatchMessage): DispatchMessage {
+	return message.type === 'configuration' ? { ...message, state: { ...emptyFleetState, ...message.state } } : message;
+}
