--- a/packages/tools/src/node/fleet/fleetClient.ts
+++ b/packages/tools/src/node/fleet/fleetClient.ts
@@ -47,9 +47,13 @@
 	return JSON.parse(answer.body) as unknown;
 }
 
+/** Headers of an exchange whose connection is not used again, since a stand-in may silence the open ones. */
+export const singleUse = { connection: 'close' } as const;
+
 /** Sets the faults of a stand-in. */
 export async function setFaults(address: string, faults: object): Promise<void> {
-	await exchange('POST', `${address}/faults`, JSON.stringify(faults), { 'content-type': 'application/json' });
+	const headers = { 'content-type': 'application/json', ...singleUse };
+	await exchange('POST', `${address}/faults`, JSON.stringify(faults), headers);
 }
 
 /** One HTTP exchange; the whole body is read. */
--- a/packages/tools/src/node/fleet/ledgerReader.ts
+++ b/packages/tools/src/node/fleet/ledgerReader.ts
@@ -1,5 +1,5 @@
 import type { LocalWorker } from './localFleet.js';
-import { exchange } from './fleetClient.js';
+import { exchange, singleUse } from './fleetClient.js';
 
 /** One start or end of a task, as a worker stand-in saw it. */
 export interface LedgerLine {
@@ -29,7 +29,7 @@
 /** Reads the ledgers of all workers, which must share one process and so one clock. */
 export async function readLedgers(workers: readonly LocalWorker[]): Promise<LedgerSummary> {
 	const answers = await Promise.all(
-		workers.map(worker => exchange('GET', `${worker.address}/worker/ledger`, undefined, {})),
+		workers.map(worker => exchange('GET', `${worker.address}/worker/ledger`, undefined, singleUse)),
 	);
 	const lines = answers.flatMap(answer => (JSON.parse(answer.body) as { entries: LedgerLine[] }).entries);
 	// Ends go before starts at the same reading, since a slot may be reused within one tick of the clock.
