--- a/packages/daemon/src/node/control/controlReader.ts
+++ b/packages/daemon/src/node/control/controlReader.ts
@@ -7,6 +7,7 @@
 import type { LogClient } from '@chestnutwheel/platform/common/logProtocol.js';
 import type { Logger } from 'pino';
 import type { ControlState } from './controlState.js';
+import { takeNewestSnapshot } from './newestSnapshot.js';
 
 /** Name of the stream that holds notes and the records of waves. */
 export const CONTROL_STREAM = 'control';
@@ -34,8 +35,6 @@
 const LONG_POLL_MS = 1_000;
 const RETRY_BASE_MS = 100;
 const RETRY_CAP_MS = 1_000;
-/** Snapshots tried from the newest backwards when the newest is damaged. */
-const SNAPSHOTS_TRIED = 8;
 
 /** Follows the control stream until the signal is aborted. */
 export async function runControlReader(options: ControlReaderOptions, signal: AbortSignal): Promise<void> {
@@ -98,18 +97,12 @@
 
 async function adoptNewestSnapshot(options: ControlReaderOptions, signal: AbortSignal): Promise<void> {
 	const { log, state, counters } = options;
-	const last = await log.read(SNAPSHOT_STREAM, -1, { limit: 1, signal });
-	for (let tried = 0; tried < SNAPSHOTS_TRIED; tried++) {
-		const offset = last.endOffset - 1 - tried;
-		if (offset < last.firstOffset) {
-			return;
-		}
-		const answer = tried === 0 ? last : await log.read(SNAPSHOT_STREAM, offset, { limit: 1, signal });
-		const snapshot = parseSnapshot(answer.records[0]?.value ?? '');
+	const take = (text: string): boolean => {
+		const snapshot = parseSnapshot(text);
 		if (snapshot !== undefined) {
 			state.adopt(snapshot);
-			return;
 		}
-		counters.add('control_snapshots_damaged_total');
-	}
+		return snapshot !== undefined;
+	};
+	counters.add('control_snapshots_damaged_total', {}, await takeNewestSnapshot(log, SNAPSHOT_STREAM, take, signal));
 }
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -1,6 +1,7 @@
 import { randomBytes, randomInt } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import { messageOf } from '@chestnutwheel/base/common/kindError.js';
 import { createSeededRandom } from '@chestnutwheel/base/common/seededRandom.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import { createSystemClock } from '@chestnutwheel/base/node/systemClock.js';
@@ -55,8 +56,11 @@
 /** Time that reports of ended attempts have to reach a leader during a stop. */
 const REPORT_WITHIN_MS = 2_000;
 
-/** Starts a daemon. Resolves when both of its ports are open. */
-export async function startDaemon(settings: Settings, logger: Logger): Promise<Daemon> {
+/**
+ * Starts a daemon. Resolves when both of its ports are open.
+ * @param onFatal called when one of its tasks has ended with an error, after which it must not go on
+ */
+export async function startDaemon(settings: Settings, logger: Logger, onFatal: () => void): Promise<Daemon> {
 	const controller = new AbortController();
 	const { signal } = controller;
 	// Every task and open call of the daemon listens to this one signal.
@@ -218,7 +222,10 @@
 			signal,
 		),
 	]);
-	tasks.catch((error: unknown) => logger.fatal({ error }, 'a task has ended with an error'));
+	tasks.catch((error: unknown) => {
+		logger.fatal({ reason: messageOf(error) }, 'a task has ended with an error');
+		onFatal();
+	});
 
 	return {
 		callerAddress: callerServer.address,
--- a/packages/daemon/src/node/leader/work/workStream.ts
+++ b/packages/daemon/src/node/leader/work/workStream.ts
@@ -4,6 +4,7 @@
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { LogClient } from '@chestnutwheel/platform/common/logProtocol.js';
 import type { WorkLedger } from '@chestnutwheel/work/common/workLedger.js';
+import { takeNewestSnapshot } from '../../control/newestSnapshot.js';
 import type { AppendResult } from '@chestnutwheel/work/common/workMessages.js';
 
 /** Reads and writes the work stream of one cell. */
@@ -31,8 +32,6 @@
 const LONG_POLL_MS = 1_000;
 const RETRY_MS = 200;
 const IDLE_MS = 50;
-/** Snapshots tried from the newest backwards when the newest is damaged. */
-const SNAPSHOTS_TRIED = 8;
 
 /** Creates the stream of a cell. */
 export function createWorkStream(options: WorkStreamOptions): WorkStream {
@@ -41,18 +40,8 @@
 	const snapshotStream = `work-snapshots-${cell}`;
 
 	const restore = async (signal: AbortSignal): Promise<void> => {
-		const last = await log.read(snapshotStream, -1, { limit: 1, signal });
-		for (let tried = 0; tried < SNAPSHOTS_TRIED; tried++) {
-			const offset = last.endOffset - 1 - tried;
-			if (offset < last.firstOffset) {
-				return;
-			}
-			const answer = tried === 0 ? last : await log.read(snapshotStream, offset, { limit: 1, signal });
-			if (ledger.restore(answer.records[0]?.value ?? '', clock.now())) {
-				return;
-			}
-			counters.add('work_snapshots_unused_total', { cell });
-		}
+		const take = (text: string): boolean => ledger.restore(text, clock.now());
+		counters.add('work_snapshots_unused_total', { cell }, await takeNewestSnapshot(log, snapshotStream, take, signal));
 	};
 
 	const readOnce = async (signal: AbortSignal): Promise<void> => {
--- a/packages/daemon/src/node/main.ts
+++ b/packages/daemon/src/node/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import { readFileSync } from 'node:fs';
+import { errorAnswers } from '@chestnutwheel/base/common/errorKinds.js';
 import { answerOf, kindError, messageOf } from '@chestnutwheel/base/common/kindError.js';
 import { parseYamlSettings } from '@chestnutwheel/base/node/parseYamlSettings.js';
 import { pino, type Logger } from 'pino';
@@ -52,7 +53,7 @@
 		return;
 	}
 	const logger = pino({ level: settings.logLevel, base: { entryHost: settings.entryHost } });
-	const daemon = await startDaemon(settings, logger);
+	const daemon = await startDaemon(settings, logger, () => process.exit(errorAnswers.internal.exitCode));
 	stopOnSignals(daemon, logger);
 	logger.info({ callerAddress: daemon.callerAddress, controlAddress: daemon.controlAddress }, 'started');
 }
--- a/packages/tools/src/node/benchmark.ts
+++ b/packages/tools/src/node/benchmark.ts
@@ -2,7 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { createTotals, runRound, type BenchmarkPath, type BenchmarkTotals, type RoundSize } from './benchmarkLoad.js';
-import { startProcess, type BenchmarkProcess } from './benchmarkProcess.js';
+import { startAddressed, type BenchmarkProcess } from './benchmarkProcess.js';
 
 /** The figures of one path. Times are in microseconds. */
 interface PathFigures {
@@ -88,7 +88,7 @@
 
 /** Starts a process that is stopped at the end of the benchmark. */
 async function start(script: string, programArguments: readonly string[]): Promise<BenchmarkProcess> {
-	const child = await startProcess(new URL(script, import.meta.url), programArguments);
+	const child = await startAddressed(new URL(script, import.meta.url), programArguments);
 	started.push(child);
 	return child;
 }
--- a/packages/tools/src/node/benchmarkFleet.ts
+++ b/packages/tools/src/node/benchmarkFleet.ts
@@ -2,19 +2,15 @@
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
 import { hideBin } from 'yargs/helpers';
-import { barleyDesk, createDeskNote, sampleKey } from './fleet/deskNote.js';
-import { leaderIndex, submitNote, waitUntilLed, waitUntilReady } from './fleet/fleetClient.js';
-import { startLocalFleet, type LocalFleet } from './fleet/localFleet.js';
+import { startDeskFleet } from './fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from './fleet/deskNote.js';
+import { leaderIndex } from './fleet/fleetClient.js';
+import type { LocalFleet } from './fleet/localFleet.js';
 
 const WORKERS = 10;
 
-/** Starts three daemons and measures a path through one that is not the leader, which has the longer way. */
+/** Measures a path through one that is not the leader, which has the longer way. */
 async function run(fleet: LocalFleet): Promise<number> {
-	const entryHosts = fleet.daemons.map(daemon => daemon.entryHost);
-	const first = entryHosts[0]?.address ?? '';
-	await submitNote(first, fleet.operatorKey, createDeskNote([barleyDesk], fleet.workers, entryHosts));
-	await Promise.all(entryHosts.map(entryHost => waitUntilReady(entryHost.address)));
-	await waitUntilLed(first, fleet.operatorKey);
 	const leader = await leaderIndex(fleet, 'barley', 0);
 	const follower = fleet.daemons.find((_, index) => index !== leader);
 	const pids = fleet.daemons.map(daemon => String(daemon.running.process.pid));
@@ -31,7 +27,10 @@
 	return code ?? 1;
 }
 
-const fleet = await startLocalFleet({ workers: WORKERS, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
+const fleet = await startDeskFleet([barleyDesk], {
+	workers: WORKERS,
+	daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'],
+});
 try {
 	process.exitCode = await run(fleet);
 } finally {
--- a/packages/tools/src/node/benchmarkLoad.ts
+++ b/packages/tools/src/node/benchmarkLoad.ts
@@ -1,6 +1,6 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Pool } from 'undici';
-import { processorMs } from './benchmarkProcess.js';
+import { readProcessorMs } from './fleet/processUsage.js';
 
 /** One of the ways to the endpoint that are compared. */
 export interface BenchmarkPath {
@@ -115,7 +115,7 @@
 export async function runRound(path: BenchmarkPath, size: RoundSize, totals: BenchmarkTotals): Promise<void> {
 	const { aloneRequests, loadedRequests, concurrency, bodyBytes } = size;
 	const pool = new Pool(path.origin, { connections: concurrency, pipelining: 1 });
-	const processorTime = (): number => path.pids.reduce((sum, pid) => sum + processorMs(pid), 0);
+	const processorTime = (): number => path.pids.reduce((sum, pid) => sum + readProcessorMs(pid), 0);
 	try {
 		// Opens the connections and lets the compiler optimise; its times are not recorded.
 		await sendMany(concurrency * 20, concurrency, () => sendOne(pool, path, bodyBytes, totals, undefined));
--- a/packages/tools/src/node/demo/runDemo.ts
+++ b/packages/tools/src/node/demo/runDemo.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
-import { barleyDesk, createDeskNote, sampleKey, speechwritingDesk } from '../fleet/deskNote.js';
-import { submitNote, waitUntilLed, waitUntilReady } from '../fleet/fleetClient.js';
-import { startLocalFleet, type LocalFleet } from '../fleet/localFleet.js';
+import { startDeskFleet } from '../fleet/deskFleet.js';
+import { barleyDesk, sampleKey, speechwritingDesk } from '../fleet/deskNote.js';
+import type { LocalFleet } from '../fleet/localFleet.js';
 import { runSampleTraffic, type TrafficRow } from './sampleTraffic.js';
 
 /** How the demo runs. */
@@ -17,12 +17,12 @@
 /** Starts a fleet with both desks, sends sample traffic and prints what ran where. */
 export async function runDemo({ once: stopsAtOnce, print }: DemoOptions): Promise<void> {
 	print('Starting the log, the host list, 70 workers and three daemons in three data centres ...');
-	const fleet = await startLocalFleet({
+	const fleet = await startDeskFleet(desks, {
 		workers: WORKERS_PER_DESK * desks.length,
 		daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'],
 	});
 	try {
-		await acceptNote(fleet, print);
+		print('The sample note is in force on all three daemons, and every cell has a leader.');
 		printTraffic(await runSampleTraffic(fleet.daemons, desks), print);
 		printAddresses(fleet, print);
 		if (!stopsAtOnce) {
@@ -35,27 +35,6 @@
 	}
 }
 
-async function acceptNote(fleet: LocalFleet, print: (line: string) => void): Promise<void> {
-	const first = fleet.daemons[0];
-	if (first === undefined) {
-		throw new Error('no daemon has started');
-	}
-	const note = createDeskNote(
-		desks,
-		fleet.workers,
-		fleet.daemons.map(daemon => daemon.entryHost),
-	);
-	const answer = await submitNote(first.entryHost.address, fleet.operatorKey, note);
-	if (answer.status !== 200) {
-		throw new Error(`the sample note was refused: ${answer.body}`);
-	}
-	const { verdict } = JSON.parse(answer.body) as { verdict: { offset: number; touched: readonly string[] } };
-	print(`Release note "${note.id}" accepted at offset ${verdict.offset}: ${verdict.touched.length} items.`);
-	await Promise.all(fleet.daemons.map(daemon => waitUntilReady(daemon.entryHost.address)));
-	await waitUntilLed(first.entryHost.address, fleet.operatorKey);
-	print('In force on all three daemons, and every cell has a leader.');
-}
-
 function printTraffic(rows: readonly TrafficRow[], print: (line: string) => void): void {
 	print('\nqueue            sent  answered  hosts  data centres      p50 ms   worst ms');
 	for (const row of rows) {
--- a/packages/tools/src/node/fleet/processUsage.ts
+++ b/packages/tools/src/node/fleet/processUsage.ts
@@ -13,11 +13,17 @@
 const MILLISECONDS_PER_TICK = 10;
 const KILOBYTES_PER_MEGABYTE = 1_024;
 
+/** Processor time of a process so far, in milliseconds, with a resolution of 10 ms. */
+export function readProcessorMs(pid: number): number {
+	const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
+	// The name in parentheses may have spaces; the user and system times are fields 14 and 15 of the line, see proc(5).
+	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+	return (Number(fields[11]) + Number(fields[12])) * MILLISECONDS_PER_TICK;
+}
+
 /** Reads the usage of a daemon from the operating system and from its metrics. */
 export async function readUsage(daemon: LocalDaemon): Promise<ProcessUsage> {
-	const pid = String(daemon.running.process.pid);
-	// The fields after the name of the program, which is in parentheses; see proc(5).
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ').at(-1)?.split(' ') ?? [];
+	const pid = daemon.running.process.pid ?? 0;
 	const resident = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
 	const metrics = await exchange('GET', `${daemon.entryHost.address}/metrics`, undefined, {});
 	const bytesByUse = new Map<string, number>();
@@ -26,7 +32,7 @@
 		bytesByUse.set(use, (bytesByUse.get(use) ?? 0) + Number(bytes));
 	}
 	return {
-		processorMs: (Number(fields[11]) + Number(fields[12])) * MILLISECONDS_PER_TICK,
+		processorMs: readProcessorMs(pid),
 		residentMegabytes: Number(resident) / KILOBYTES_PER_MEGABYTE,
 		bytesByUse,
 	};
--- a/packages/tools/src/node/measureDaemon.ts
+++ b/packages/tools/src/node/measureDaemon.ts
@@ -1,16 +1,9 @@
 import { performance } from 'node:perf_hooks';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
 import type { FleetState, Host } from '@chestnutwheel/configuration/common/fleetState.js';
+import { startDeskFleet } from './fleet/deskFleet.js';
 import { barleyDesk, createDeskNote } from './fleet/deskNote.js';
-import {
-	exchange,
-	leaderIndex,
-	readView,
-	submitNote,
-	waitUntil,
-	waitUntilLed,
-	waitUntilReady,
-} from './fleet/fleetClient.js';
+import { exchange, leaderIndex, readView, submitNote, waitUntil } from './fleet/fleetClient.js';
 import { startLocalFleet, type LocalFleet } from './fleet/localFleet.js';
 import { readUsage, type ProcessUsage } from './fleet/processUsage.js';
 
@@ -28,13 +21,8 @@
 const dataCentres = (count: number): string[] => Array.from({ length: count }, (_, index) => `dc-${(index % 3) + 1}`);
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
-async function startWithDesk(entryHosts: number): Promise<LocalFleet> {
-	const fleet = await startLocalFleet({ workers: WORKERS, daemonDataCentres: dataCentres(entryHosts) });
-	const names = fleet.daemons.map(daemon => daemon.entryHost);
-	await submitNote(names[0]?.address ?? '', fleet.operatorKey, createDeskNote([barleyDesk], fleet.workers, names));
-	await Promise.all(names.map(entryHost => waitUntilReady(entryHost.address)));
-	await waitUntilLed(names[0]?.address ?? '', fleet.operatorKey);
-	return fleet;
+function startWithDesk(entryHosts: number): Promise<LocalFleet> {
+	return startDeskFleet([barleyDesk], { workers: WORKERS, daemonDataCentres: dataCentres(entryHosts) });
 }
 
 function usageRow(
--- a/packages/tools/src/test/endpointFaults.test.ts
+++ b/packages/tools/src/test/endpointFaults.test.ts
@@ -1,19 +1,11 @@
 import { request } from 'undici';
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
 import type { CellStatus, HostStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
-import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
-import {
-	readStatus,
-	sendRequest,
-	setFaults,
-	submitNote,
-	waitUntil,
-	waitUntilLed,
-	waitUntilReady,
-	type FleetAnswer,
-} from '../node/fleet/fleetClient.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
+import { readStatus, sendRequest, setFaults, waitUntil, type FleetAnswer } from '../node/fleet/fleetClient.js';
 import { readLedgers } from '../node/fleet/ledgerReader.js';
-import { startLocalFleet, type LocalFleet, type LocalWorker } from '../node/fleet/localFleet.js';
+import { type LocalFleet, type LocalWorker } from '../node/fleet/localFleet.js';
 
 const QUEUE = 'pricing';
 /** Limit of the teams `traders` and `laboratories` in the sample note. */
@@ -50,16 +42,7 @@
 	const firstWorker = (): LocalWorker => workersOfPool(0)[0] ?? { host: '', address: '' };
 
 	beforeAll(async () => {
-		fleet = await startLocalFleet({ workers: WORKERS, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
-		const note = createDeskNote(
-			[barleyDesk],
-			fleet.workers,
-			fleet.daemons.map(daemon => daemon.entryHost),
-		);
-		const answer = await submitNote(control(), fleet.operatorKey, note);
-		expect(answer.status, answer.body).toBe(200);
-		await Promise.all(fleet.daemons.map(daemon => waitUntilReady(daemon.entryHost.address)));
-		await waitUntilLed(control(), fleet.operatorKey);
+		fleet = await startDeskFleet([barleyDesk], { workers: WORKERS, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
 	});
 
 	const barley = async (): Promise<CellStatus | undefined> =>
--- a/packages/tools/src/test/jobsAndOnce.test.ts
+++ b/packages/tools/src/test/jobsAndOnce.test.ts
@@ -1,37 +1,25 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
 import {
 	exchange,
 	leaderIndex,
 	sendRequest,
 	setFaults,
-	submitNote,
 	waitUntil,
-	waitUntilLed,
-	waitUntilReady,
 	type FleetAnswer,
 } from '../node/fleet/fleetClient.js';
 import { readLedgers } from '../node/fleet/ledgerReader.js';
-import { startLocalFleet, type LocalFleet } from '../node/fleet/localFleet.js';
+import type { LocalFleet } from '../node/fleet/localFleet.js';
 
 describe('long jobs and requests that may not be repeated, over real processes', () => {
 	let fleet: LocalFleet;
-	const control = (index: number): string => fleet.daemons[index]?.entryHost.address ?? '';
 	const caller = (index: number): string => fleet.daemons[index]?.callerAddress ?? '';
 	const key = sampleKey('traders');
 	const bearer = { authorization: `Bearer ${key}` };
 
 	beforeAll(async () => {
-		fleet = await startLocalFleet({ workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
-		const note = createDeskNote(
-			[barleyDesk],
-			fleet.workers,
-			fleet.daemons.map(daemon => daemon.entryHost),
-		);
-		const answer = await submitNote(control(0), fleet.operatorKey, note);
-		expect(answer.status, answer.body).toBe(200);
-		await Promise.all(fleet.daemons.map((_, index) => waitUntilReady(control(index))));
-		await waitUntilLed(control(0), fleet.operatorKey);
+		fleet = await startDeskFleet([barleyDesk], { workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
 	});
 
 	afterAll(async () => {
--- a/packages/tools/src/test/processFailures.test.ts
+++ b/packages/tools/src/test/processFailures.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { NoteItems, NoteNames, ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
-import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
 import {
 	exchange,
 	leaderIndex,
@@ -15,7 +16,7 @@
 } from '../node/fleet/fleetClient.js';
 import { readLedgers } from '../node/fleet/ledgerReader.js';
 import { startLoad, type LoadDriver, type SentRequest } from '../node/fleet/loadDriver.js';
-import { startLocalFleet, type LocalFleet } from '../node/fleet/localFleet.js';
+import type { LocalFleet } from '../node/fleet/localFleet.js';
 
 /** Limit of the team `traders` in the sample note; the load asks for three times as much. */
 const LIMIT = 16;
@@ -27,16 +28,11 @@
 	const everyDaemon = (): number[] => [...fleet.daemons.keys()];
 
 	beforeEach(async () => {
-		fleet = await startLocalFleet({ workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'], balancerDelayMs: 500 });
-		const note = createDeskNote(
-			[barleyDesk],
-			fleet.workers,
-			fleet.daemons.map(daemon => daemon.entryHost),
-		);
-		const answer = await submitNote(control(0), fleet.operatorKey, note);
-		expect(answer.status, answer.body).toBe(200);
-		await Promise.all(everyDaemon().map(index => waitUntilReady(control(index))));
-		await waitUntilLed(control(0), fleet.operatorKey);
+		fleet = await startDeskFleet([barleyDesk], {
+			workers: 10,
+			daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'],
+			balancerDelayMs: 500,
+		});
 		noteOffset = 0;
 	});
 
--- a/packages/tools/src/test/readmeTour.test.ts
+++ b/packages/tools/src/test/readmeTour.test.ts
@@ -1,12 +1,12 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { barleyDesk, createDeskNote } from '../node/fleet/deskNote.js';
-import { submitNote, waitUntilLed, waitUntilReady } from '../node/fleet/fleetClient.js';
-import { startLocalFleet, type LocalFleet } from '../node/fleet/localFleet.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk } from '../node/fleet/deskNote.js';
+import type { LocalFleet } from '../node/fleet/localFleet.js';
 
 const repository = new URL('../../../../', import.meta.url);
 const readme = readFileSync(new URL('README.md', repository), 'utf8');
@@ -24,6 +24,16 @@
 
 const MARKER = '=== end of part';
 
+/** The options of curl that the tour uses, so that the test needs nothing but Node.js. */
+const CURL = `
+import { parseArgs } from 'node:util';
+const options = { request: { type: 'string', short: 'X' }, header: { type: 'string', short: 'H', multiple: true }, data: { type: 'string', short: 'd' } };
+const { values, positionals } = parseArgs({ options, allowPositionals: true });
+const headers = Object.fromEntries((values.header ?? []).map(line => line.split(/: (.*)/)));
+const answer = await fetch(positionals[0], { method: values.request, headers, body: values.data, signal: AbortSignal.timeout(20_000) });
+process.stdout.write(await answer.text());
+`;
+
 /** The tour as one script; a marker after each part divides the output. */
 function tourScript(): string {
 	const parts = blocks.flatMap(({ language, file, text }) => {
@@ -32,7 +42,7 @@
 		}
 		return language === 'sh' ? [`${text}echo; echo '${MARKER}'\n`] : [];
 	});
-	return `set -eu\ncurl() { command curl --silent --show-error --max-time 20 "$@"; echo; }\n${parts.join('')}`;
+	return `set -eu\ncurl() { "$NODE" "$CURL" "$@"; echo; }\n${parts.join('')}`;
 }
 
 // Guards against a tour whose commands fail, or print something else, for somebody who tries the product.
@@ -43,12 +53,8 @@
 
 	beforeAll(async () => {
 		folder = mkdtempSync(join(tmpdir(), 'chestnutwheel-tour-'));
-		fleet = await startLocalFleet({ workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
-		const entryHosts = fleet.daemons.map(daemon => daemon.entryHost);
-		const note = createDeskNote([barleyDesk], fleet.workers, entryHosts);
-		expect((await submitNote(control(), fleet.operatorKey, note)).status).toBe(200);
-		await Promise.all(entryHosts.map(({ address }) => waitUntilReady(address)));
-		await waitUntilLed(control(), fleet.operatorKey);
+		writeFileSync(join(folder, 'curl.mjs'), CURL);
+		fleet = await startDeskFleet([barleyDesk], { workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
 	});
 
 	afterAll(async () => {
@@ -63,6 +69,8 @@
 			env: {
 				...process.env,
 				TMPDIR: folder,
+				NODE: process.execPath,
+				CURL: join(folder, 'curl.mjs'),
 				CALLERS: fleet.daemons[0]?.callerAddress,
 				CHESTNUTWHEEL_DAEMON: control(),
 				CHESTNUTWHEEL_OPERATOR_KEY: fleet.operatorKey,
--- a/packages/tools/src/test/thinPath.test.ts
+++ b/packages/tools/src/test/thinPath.test.ts
@@ -1,14 +1,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
-import {
-	exchange,
-	sendRequest,
-	submitNote,
-	waitUntilLed,
-	waitUntilReady,
-	type FleetAnswer,
-} from '../node/fleet/fleetClient.js';
-import { startLocalFleet, type LocalFleet } from '../node/fleet/localFleet.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
+import { exchange, sendRequest, type FleetAnswer } from '../node/fleet/fleetClient.js';
+import type { LocalFleet } from '../node/fleet/localFleet.js';
 
 describe('the path from caller to endpoint over real processes', () => {
 	let fleet: LocalFleet;
@@ -18,16 +12,7 @@
 		(JSON.parse(answer.body) as { error: { kind: string; outcome: string; message: string } }).error;
 
 	beforeAll(async () => {
-		fleet = await startLocalFleet({ workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
-		const entryHosts = fleet.daemons.map(daemon => daemon.entryHost);
-		const answer = await submitNote(
-			control(0),
-			fleet.operatorKey,
-			createDeskNote([barleyDesk], fleet.workers, entryHosts),
-		);
-		expect(answer.status, answer.body).toBe(200);
-		await Promise.all(fleet.daemons.map((_, index) => waitUntilReady(control(index))));
-		await waitUntilLed(control(0), fleet.operatorKey);
+		fleet = await startDeskFleet([barleyDesk], { workers: 10, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
 	});
 
 	afterAll(async () => {
--- a/packages/tools/src/test/waves.test.ts
+++ b/packages/tools/src/test/waves.test.ts
@@ -1,35 +1,19 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import type { FleetState } from '@chestnutwheel/configuration/common/fleetState.js';
 import type { ReleaseNote } from '@chestnutwheel/configuration/common/controlRecord.js';
-import { barleyDesk, createDeskNote, sampleKey } from '../node/fleet/deskNote.js';
-import {
-	exchange,
-	leaderIndex,
-	readView,
-	submitNote,
-	waitUntil,
-	waitUntilLed,
-	waitUntilReady,
-} from '../node/fleet/fleetClient.js';
+import { startDeskFleet } from '../node/fleet/deskFleet.js';
+import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
+import { exchange, leaderIndex, readView, submitNote, waitUntil } from '../node/fleet/fleetClient.js';
 import { readLedgers } from '../node/fleet/ledgerReader.js';
 import { startLoad } from '../node/fleet/loadDriver.js';
-import { startLocalFleet, type LocalFleet } from '../node/fleet/localFleet.js';
+import type { LocalFleet } from '../node/fleet/localFleet.js';
 
 describe('a maintenance wave over real processes', () => {
 	let fleet: LocalFleet;
 	const control = (index: number): string => fleet.daemons[index]?.entryHost.address ?? '';
 
 	beforeAll(async () => {
-		fleet = await startLocalFleet({ workers: 15, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
-		const note = createDeskNote(
-			[barleyDesk],
-			fleet.workers,
-			fleet.daemons.map(daemon => daemon.entryHost),
-		);
-		const answer = await submitNote(control(0), fleet.operatorKey, note);
-		expect(answer.status, answer.body).toBe(200);
-		await Promise.all(fleet.daemons.map((_, index) => waitUntilReady(control(index))));
-		await waitUntilLed(control(0), fleet.operatorKey);
+		fleet = await startDeskFleet([barleyDesk], { workers: 15, daemonDataCentres: ['dc-1', 'dc-2', 'dc-3'] });
 	});
 
 	afterAll(async () => {
