Test connections to an endpoint that go silent while new ones work

Cause: the case was open; an earlier try never ended, because a question whose connection was opened before the fault came into force was waited for without end. Change: the test's questions end after a second and are asked again; requests that may be repeated are answered by others, others end as endpoint-silent.

--- a/packages/tools/src/node/fleet/fleetClient.ts
+++ b/packages/tools/src/node/fleet/fleetClient.ts
@@ -56,14 +56,15 @@
 	await exchange('POST', `${address}/faults`, JSON.stringify(faults), headers);
 }
 
-/** One HTTP exchange; the whole body is read. */
+/** One HTTP exchange; the whole body is read. @param signal ends the exchange and closes its connection */
 export async function exchange(
 	method: 'GET' | 'POST' | 'DELETE',
 	url: string,
 	body: string | undefined,
 	headers: Readonly<Record<string, string>>,
+	signal?: AbortSignal,
 ): Promise<FleetAnswer> {
-	const answer = await request(url, { method, body: body ?? null, headers });
+	const answer = await request(url, { method, body: body ?? null, headers, signal: signal ?? null });
 	return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() };
 }
 
--- a/packages/tools/src/test/endpointFaults.test.ts
+++ b/packages/tools/src/test/endpointFaults.test.ts
@@ -3,7 +3,15 @@
 import type { CellStatus, HostStatus } from '@chestnutwheel/configuration/common/operatorProtocol.js';
 import { startDeskFleet } from '../node/fleet/deskFleet.js';
 import { barleyDesk, sampleKey } from '../node/fleet/deskNote.js';
-import { readStatus, sendRequest, setFaults, waitUntil, type FleetAnswer } from '../node/fleet/fleetClient.js';
+import {
+	exchange,
+	type FleetAnswer,
+	readStatus,
+	sendRequest,
+	setFaults,
+	singleUse,
+	waitUntil,
+} from '../node/fleet/fleetClient.js';
 import { readLedgers } from '../node/fleet/ledgerReader.js';
 import { type LocalFleet, type LocalWorker } from '../node/fleet/localFleet.js';
 
@@ -115,6 +123,39 @@
 		return new Set(starts.filter(line => line.host === host).map(line => line.mark ?? ''));
 	};
 
+	/** The fault also silences the connection that set it, so that its answer is not waited for. */
+	const silenceOpenConnections = async (address: string): Promise<void> => {
+		setFaults(address, { silentConnections: true }).catch(() => undefined);
+		await waitUntil('the fault to be set', async () => {
+			// A question whose connection was opened before the fault came into force is never answered.
+			const signal = AbortSignal.timeout(1_000);
+			const faults = await exchange('GET', `${address}/faults`, undefined, singleUse, signal).catch(() => undefined);
+			return faults !== undefined && (JSON.parse(faults.body) as { silentConnections: boolean }).silentConnections;
+		});
+	};
+
+	// Guards against callers that wait for connections on which nothing will ever come, and against a false "not run".
+	it('ends requests on connections that went silent, and answers those that may be repeated', async () => {
+		const { host, address } = firstWorker();
+		// Opens the connections that are to go silent, from every daemon to every worker of the pool.
+		await sendMany('silent-before', 96, { team: 'maltsters', repeatable: true });
+		await untilIdle();
+		await silenceOpenConnections(address);
+		const repeated = await sendMany('silent-repeatable', 24, { team: 'brewers', repeatable: true });
+		const once = await sendMany('silent-once', 24, { team: 'elevators', repeatable: false });
+		const onSilent = await marksStartedOn(host);
+		const { startsByMark } = await readLedgers(fleet.workers);
+		expect(repeated.filter(sent => sent.answer.status !== 200)).toEqual([]);
+		const unknown = once.filter(sent => sent.answer.status !== 200);
+		expect(unknown.map(sent => errorOf(sent).kind)).toEqual(unknown.map(() => 'endpoint-silent'));
+		for (const { mark } of once) {
+			expect(startsByMark.get(mark) ?? 0).toBeLessThanOrEqual(1);
+		}
+		const attempts = [...repeated, ...once].map(sent => Number(sent.answer.headers['x-attempts'] ?? 0));
+		// At least one request met a silent connection: it needed a second attempt, or ended as unknown.
+		expect(unknown.length + attempts.filter(count => count > 1).length, [...onSilent].join()).toBeGreaterThan(0);
+	});
+
 	it.each([
 		{ fault: 'crossAnswers', kind: 'answer-mismatched', team: 'maltsters' },
 		{ fault: 'truncateAnswers', kind: 'answer-truncated', team: 'brewers' },
