Plan pools right after a handover, although entries of moved hosts still stand

The plan waited for listed workers that had not answered; the entry of a worker whose host has moved stands for some seconds and nobody answers there. Change: a worker that left its first look without an answer does not hold the plan up. The worker of a host is its newest life that is not over, looked up by host instead of by a scan over all workers.

--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -132,9 +132,7 @@
 			...times,
 			...objectiveOf(accepted, (spec, number) => {
 				const step = steps[number];
-				return step?.done === spec.count && step.tookMs.length > 0
-					? Math.max(...step.tookMs)
-					: expected(spec, number);
+				return step?.done === spec.count && step.tookMs.length > 0 ? Math.max(...step.tookMs) : expected(spec, number);
 			}),
 		};
 	};
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -55,13 +55,10 @@
 
 	const workerOf = (host: string): WorkerState | undefined => {
 		const listed = hosts.hosts.get(host);
-		let found = listed === undefined || listed.worker === '' ? undefined : workers.byName(listed.worker);
-		for (const state of workers.current()) {
-			if (!state.isOver && state.entry?.host === host) {
-				found = found === undefined || state.life > found.life ? state : found;
-			}
-		}
-		return found?.isOver === true ? undefined : found;
+		const named = listed === undefined || listed.worker === '' ? undefined : workers.byName(listed.worker);
+		const found = workers.byHost(host);
+		const newer = found === undefined || (named !== undefined && named.life > found.life) ? named : found;
+		return newer?.isOver === true ? undefined : newer;
 	};
 
 	/** A host without a known worker may be ordered only when its worker cannot be one that is still to be learned of. */
@@ -76,10 +73,9 @@
 	};
 
 	const release = (host: string): void => {
-		for (const state of workers.current()) {
-			if (state.entry?.host === host) {
-				state.isClosing = false;
-			}
+		const state = workers.byHost(host);
+		if (state !== undefined) {
+			state.isClosing = false;
 		}
 		context.needsPass = true;
 	};
--- a/packages/engine/src/common/hosts/upkeepWaves.ts
+++ b/packages/engine/src/common/hosts/upkeepWaves.ts
@@ -52,14 +52,8 @@
 		return count === 0 ? 0 : use / count;
 	};
 
-	const lastingOn = (host: string): number => {
-		for (const state of workers.current()) {
-			if (state.entry?.host === host && !state.isOver) {
-				return [...state.runs.values()].filter(({ task }) => task.step.spec.isLasting).length;
-			}
-		}
-		return 0;
-	};
+	const lastingOn = (host: string): number =>
+		[...(workers.byHost(host)?.runs.values() ?? [])].filter(({ task }) => task.step.spec.isLasting).length;
 
 	/** Hosts of the wave that are neither settled nor in work, and whether they can be ordered now. */
 	const candidatesOf = ({ wave }: WaveState, now: number): Candidate[] => {
--- a/packages/engine/src/common/pools/poolKeeping.ts
+++ b/packages/engine/src/common/pools/poolKeeping.ts
@@ -130,16 +130,6 @@
 		!state.isClosing &&
 		state.contact !== 'silent';
 
-	const statesByHost = (): ReadonlyMap<string, WorkerState> => {
-		const states = new Map<string, WorkerState>();
-		for (const state of workers.current()) {
-			if (state.entry !== undefined && !state.isOver) {
-				states.set(state.entry.host, state);
-			}
-		}
-		return states;
-	};
-
 	/** Entries of workers may be missing for a time after an outage of the store, so that the list of hosts counts. */
 	const mayServe = (listed: ListedHost, state: WorkerState | undefined, now: number): boolean =>
 		state?.entry?.pool !== listed.pool
@@ -170,9 +160,8 @@
 	const needs = (standby: ReadonlySet<string>, now: number): readonly ExplainedNeed[] => {
 		const have = new Map<string, number>();
 		const add = (pool: string): void => void have.set(pool, (have.get(pool) ?? 0) + 1);
-		const states = statesByHost();
 		for (const listed of hosts.hosts.values()) {
-			if (listed.state === 'up' && !isMoving(listed.host) && mayServe(listed, states.get(listed.host), now)) {
+			if (listed.state === 'up' && !isMoving(listed.host) && mayServe(listed, workers.byHost(listed.host), now)) {
 				add(listed.pool);
 			}
 		}
@@ -210,14 +199,13 @@
 	const isMoving = (host: string): boolean => hosts.orders.get(host)?.action.type === 'move';
 
 	const movable = (standby: ReadonlySet<string>): readonly MovableHost[] => {
-		const states = statesByHost();
 		const due = new Set(
 			[...hosts.waves.values()]
 				.filter(({ reported }) => reported !== 'done')
 				.flatMap(({ wave }) => wave.hosts.filter(host => !hosts.settled(wave.wave).has(host))),
 		);
 		const isIdle = (listed: ListedHost, isOff: boolean): boolean => {
-			const state = states.get(listed.host);
+			const state = workers.byHost(listed.host);
 			return state === undefined
 				? isOff
 				: serves(state) &&
@@ -289,9 +277,12 @@
 	return Object.fromEntries(Object.entries(shares ?? {}).map(([name, share]) => [name, Math.round(share * 10) / 10]));
 }
 
-/** Whether it is not known yet if a listed worker answers. */
-function isStranger({ contact, isListed, isOver }: WorkerState): boolean {
-	return isListed && !isOver && contact === 'unknown';
+/**
+ * Whether it is not known yet if a listed worker answers. The entry of a worker stands for some seconds after its host has
+ * moved, and nobody answers there.
+ */
+function isStranger({ contact, silentSince, isListed, isOver }: WorkerState): boolean {
+	return isListed && !isOver && contact === 'unknown' && silentSince === undefined;
 }
 
 /** Workers that a step needs because of its bound on each of them. */
--- a/packages/engine/src/common/workers/workerTable.ts
+++ b/packages/engine/src/common/workers/workerTable.ts
@@ -19,6 +19,8 @@
 	get(key: string): WorkerState | undefined;
 	/** The newest life of a worker. */
 	byName(worker: string): WorkerState | undefined;
+	/** The newest life on a host that is not over; entries of a worker that went with a move of its host may still stand. */
+	byHost(host: string): WorkerState | undefined;
 	/** The state of a life, made when it is new; a newer life ends the older ones. @returns the state */
 	life(worker: string, life: number): WorkerState;
 	/** Takes a change of the workers' entries. @returns the life that the change is about */
@@ -40,6 +42,8 @@
 export function createWorkerTable(): WorkerTable {
 	const lives = new Map<string, WorkerState>();
 	const newest = new Map<string, WorkerState>();
+	/** Names of the workers that were ever seen on a host and are not dropped yet. */
+	const namesByHost = new Map<string, Set<string>>();
 	let isRead = false;
 
 	const life = (worker: string, born: number): WorkerState => {
@@ -62,6 +66,19 @@
 		return state;
 	};
 
+	const noteHost = (worker: string, host: string): void => {
+		const names = namesByHost.get(host) ?? new Set();
+		namesByHost.set(host, names.add(worker));
+	};
+
+	const dropFromHost = ({ worker, entry }: WorkerState): void => {
+		const names = entry === undefined ? undefined : namesByHost.get(entry.host);
+		names?.delete(worker);
+		if (names?.size === 0 && entry !== undefined) {
+			namesByHost.delete(entry.host);
+		}
+	};
+
 	const unlist = (state: WorkerState, now: number): void => {
 		if (state.isListed) {
 			state.isListed = false;
@@ -78,6 +95,16 @@
 		all: () => lives.values(),
 		get: key => lives.get(key),
 		byName: worker => newest.get(worker),
+		byHost: host => {
+			let found: WorkerState | undefined;
+			for (const name of namesByHost.get(host) ?? []) {
+				const state = newest.get(name);
+				if (state?.isOver === false && state.entry !== undefined && state.life > (found?.life ?? -Infinity)) {
+					found = state;
+				}
+			}
+			return found;
+		},
 		life,
 		entryChanged: ({ key, value }, now) => {
 			if (value === undefined || value === 'unreadable') {
@@ -92,6 +119,7 @@
 				return state;
 			}
 			state.entry = value;
+			noteHost(value.worker, value.host);
 			state.isListed = true;
 			state.missingSince = undefined;
 			return state;
@@ -145,6 +173,7 @@
 					lives.delete(state.key);
 					if (newest.get(state.worker) === state) {
 						newest.delete(state.worker);
+						dropFromHost(state);
 					}
 					dropped.push(state);
 				}
--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -57,6 +57,22 @@
 	};
 }
 
+/** What a worker's entry says that nobody has changed. */
+export const staleEntry: WorkerEntry = {
+	worker: '',
+	host: '',
+	life: 1,
+	pool: '',
+	address: '10.0.0.2:1',
+	dataCentre: 'east',
+	isDraining: false,
+	remainingMs: undefined,
+	coldLeftMs: 0,
+	room: harnessRoom,
+	labels: ['a'],
+	rack: 'rack',
+};
+
 /** One worker as the harness's answers show it. */
 export interface HarnessWorker {
 	readonly name: string;
@@ -75,6 +91,8 @@
 	takeEffects(): readonly EngineEffect[];
 	/** Adds a host with a worker that answers. */
 	addWorker(name: string, pool: string, entry?: Partial<WorkerEntry>): HarnessWorker;
+	/** Lists a worker that never answers, as after a move of its host. */
+	addStaleEntry(name: string, host: string, pool: string): void;
 	/** The worker answers a look with what it runs. */
 	look(worker: HarnessWorker): void;
 	/** Starts on the worker are confirmed and listed from now on. */
@@ -169,16 +187,11 @@
 			const worker: HarnessWorker = { name, host: `host-${name}`, pool, running: new Map(), ended: [] };
 			workers.set(keyOf(worker), worker);
 			const value: WorkerEntry = {
+				...staleEntry,
 				worker: name,
 				host: worker.host,
-				life: 1,
 				pool,
 				address: `10.0.0.1:${workers.size}`,
-				dataCentre: 'east',
-				isDraining: false,
-				remainingMs: undefined,
-				coldLeftMs: 0,
-				room: harnessRoom,
 				labels: ['a', `rack-${name}`],
 				rack: `rack-${name}`,
 				...entry,
@@ -188,6 +201,16 @@
 			look(worker);
 			return worker;
 		},
+		addStaleEntry: (name, host, pool) => {
+			engine.workersChanged(
+				[{ key: name, offset: 0, value: { ...staleEntry, worker: name, host, pool } }],
+				undefined,
+				now,
+			);
+			engine.watch.lookRequest(`${name}@1`, 0, true, now);
+			engine.watch.looked(`${name}@1`, { type: 'silent', reason: 'no answer' }, now);
+			drain();
+		},
 		look,
 		confirmStarts: () => {
 			let count = 0;
--- a/packages/engine/src/test/poolKeeping.test.ts
+++ b/packages/engine/src/test/poolKeeping.test.ts
@@ -1,7 +1,16 @@
 import { describe, expect, it } from 'vitest';
 import type { EngineEffect } from '../common/engineMessages.js';
+import type { WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
-import { createEngineHarness, harnessJob, harnessQueue, harnessStep, type EngineHarness } from './engineHarness.js';
+import { createWorkerTable } from '../common/workers/workerTable.js';
+import {
+	createEngineHarness,
+	harnessJob,
+	harnessQueue,
+	harnessStep,
+	staleEntry,
+	type EngineHarness,
+} from './engineHarness.js';
 
 const pools = [
 	{ name: 'north', isStandby: false, guardsRoom: false },
@@ -102,4 +111,39 @@
 		expect(harness.journal.filter(({ type }) => type === 'host-settled')).toHaveLength(1);
 		expect(movesOf(harness).filter(({ host }) => host === 'off-0')).toEqual([]);
 	});
+
+	it('begin to move right after a handover although the entry of a moved host still stands', () => {
+		const harness = createEngineHarness({ pools, queues: [harnessQueue('north')], journal: [] });
+		harness.addWorker('n0', 'north');
+		harness.addWorker('n1', 'north');
+		harness.addStaleEntry('former', 'host-off-0', 'north');
+		harness.listHosts([
+			{ host: 'host-n0', pool: 'north', worker: 'n0' },
+			{ host: 'host-n1', pool: 'north', worker: 'n1' },
+			...Array.from({ length: 6 }, (_, index) => ({ host: `host-off-${index}`, pool: 'spare' })),
+		]);
+		for (let job = 0; job < 6; job++) {
+			harness.submit(`job-${job}`, 'north', wide);
+		}
+		harness.run(200);
+		expect(movesOf(harness).length).toBeGreaterThan(3);
+	});
+});
+
+describe('the worker of a host', () => {
+	it('is its newest life, whatever order the entries are read in', () => {
+		const workers = createWorkerTable();
+		const entry = (worker: string, life: number): WorkerEntry => ({ ...staleEntry, worker, host: 'h', life });
+		workers.entryChanged({ key: 'new', offset: 0, value: entry('new', 7) }, 0);
+		workers.entryChanged({ key: 'old', offset: 1, value: entry('old', 3) }, 0);
+		expect(workers.byHost('h')?.worker).toBe('new');
+		const newest = workers.byName('new');
+		if (newest !== undefined) {
+			newest.isOver = true;
+		}
+		expect(workers.byHost('h')?.worker).toBe('old');
+		workers.entryChanged({ key: 'old', offset: 2, value: undefined }, 0);
+		workers.prune(60_000, 5_000);
+		expect(workers.byHost('h')).toBeUndefined();
+	});
 });
