Spend less processor time on passes and on closures

Change: passes follow each other after 10 ms; a demand that no worker has left is not tried on each of them; names are kept by not shortening them.

--- a/packages/coordinator/src/node/leader/leaderTask.ts
+++ b/packages/coordinator/src/node/leader/leaderTask.ts
@@ -19,8 +19,8 @@
 import { createWorkerSessions } from './workerSessions.js';
 import { runWorkerFeed } from './workerFeedTask.js';
 
-/** Passes follow each other at most this often, so that a burst of ends is placed in one pass. */
-const PASS_EVERY_MS = 4;
+/** Passes follow each other at most this often: the journal takes one batch in about this time, so that more would wait. */
+const PASS_EVERY_MS = 10;
 
 /** What the leader needs from its daemon. */
 export interface LeaderOptions {
--- a/packages/engine/src/common/scheduling/schedulePass.ts
+++ b/packages/engine/src/common/scheduling/schedulePass.ts
@@ -1,4 +1,4 @@
-import { addRoom, fitsInto, subtractRoom } from '@chestnutwheel/ports/common/room.js';
+import { addRoom, fitsInto, maximumRoom, noRoom, subtractRoom, type Room } from '@chestnutwheel/ports/common/room.js';
 import type { EngineContext } from '../engineContext.js';
 import type { Step, Task } from '../jobs/job.js';
 import type { StartedRun } from '../jobs/journalEvent.js';
@@ -23,6 +23,8 @@
 	workers: readonly OpenWorker[];
 	/** Workers that may be kept free for steps that fit nowhere yet. */
 	reservations: number;
+	/** No worker has more room left than this in any dimension; a larger demand need not be tried on each of them. */
+	readonly mostLeft: Room;
 }
 
 /** Part of a pool's workers that is kept free at most for steps that fit nowhere; lasting tasks may take more. */
@@ -203,9 +205,10 @@
 			if (!allowsTeam(step, 1)) {
 				return;
 			}
-			const worker =
-				chooseWorker(task, { workers: pool.workers, rackOf, onlyRack: step.spec.dataRack, allowed }) ??
-				elsewhere(task, pool, allowed, now);
+			const worker = fitsInto(demandOf(step.spec), pool.mostLeft)
+				? (chooseWorker(task, { workers: pool.workers, rackOf, onlyRack: step.spec.dataRack, allowed }) ??
+					elsewhere(task, pool, allowed, now))
+				: undefined;
 			if (worker === undefined) {
 				keepRoom(task, pool);
 				return;
@@ -253,6 +256,10 @@
 		const pool: PoolPass = {
 			workers: workersOfPool,
 			reservations: Math.floor(workersOfPool.length * RESERVED_SHARE),
+			mostLeft: workersOfPool.reduce(
+				(most, { state, room }) => maximumRoom(most, subtractRoom(room, state.used)),
+				noRoom,
+			),
 		};
 		const ordered = steps
 			.map(step => ({ step, urgency: stepUrgency(step, step.occurrence.job.times, now) }))
--- a/packages/ports/src/common/room.ts
+++ b/packages/ports/src/common/room.ts
@@ -50,3 +50,12 @@
 		shareOf(demand.accelerators, room.accelerators),
 	);
 }
+
+/** The larger of two rooms in each dimension. */
+export function maximumRoom(left: Room, right: Room): Room {
+	return {
+		milliCores: Math.max(left.milliCores, right.milliCores),
+		memoryMb: Math.max(left.memoryMb, right.memoryMb),
+		accelerators: Math.max(left.accelerators, right.accelerators),
+	};
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,8 +24,9 @@
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
-	minify: true,
-	keepNames: true,
+	// Names are kept by not shortening them: keepNames defines the name of every closure when it is made.
+	minifyWhitespace: true,
+	minifySyntax: true,
 	tsconfig: join(root, 'tsconfig.base.json'),
 	plugins: [workspaceSources],
 	// Parts of the libraries that are loaded only where they are installed.
