--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -19,14 +19,13 @@
 
 await build({
 	entryPoints: [join(root, 'platform/src/node/main.ts')],
-	outfile: join(root, 'target/chestnutwheeld.cjs'),
+	outfile: join(root, 'target/chestnutwheeld.bundle.cjs'),
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
-	// Names are kept by not shortening them: keepNames defines the name of every closure when it is made.
-	minifyWhitespace: true,
-	minifySyntax: true,
+	// Without keepNames, which would define the name of every closure when it is made.
+	minify: true,
 	tsconfig: join(root, 'tsconfig.base.json'),
 	plugins: [workspaceSources],
 	// Parts of the libraries that are loaded only where they are installed.
