--- a/packages/coordinator/src/node/leader/leaderTask.ts
+++ b/packages/coordinator/src/node/leader/leaderTask.ts
@@ -253,8 +253,8 @@
 	};
 }
 
-/** Pause between two attempts to shorten the journal. */
-const TRIM_EVERY_MS = 20_000;
+/** Pause between two attempts to shorten the journal; rewriting it takes some seconds. */
+const TRIM_EVERY_MS = 5_000;
 
 async function runTrimming(engine: Engine, log: LogService, counters: Counters, signal: AbortSignal): Promise<void> {
 	let trimmed = 0;
@@ -266,9 +266,11 @@
 		const before = engine.trimBefore();
 		if (Number.isFinite(before) && before > trimmed) {
 			try {
-				trimmed = (await log.trim('journal', before, signal)) ? before : trimmed;
+				const isTrimmed = await log.trim('journal', before, signal);
+				counters.add('journal_trims_total', { outcome: isTrimmed ? 'trimmed' : 'refused' });
+				trimmed = isTrimmed ? before : trimmed;
 			} catch (error) {
-				counters.add('journal_trims_failed_total', { reason: messageOf(error).slice(0, 40) });
+				counters.add('journal_trims_total', { outcome: 'failed', reason: messageOf(error).slice(0, 40) });
 			}
 		}
 	}
--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -71,6 +71,7 @@
 		replay: (event, offset, now) => context.apply(event, offset, now),
 		lead: (term, holder, now) => {
 			context.term = term;
+			context.holder = holder;
 			context.ledSince = now;
 			for (const job of context.jobs.all()) {
 				job.shownState = job.state;
@@ -80,8 +81,7 @@
 				}
 			}
 			hosts.takeOver(now);
-			const { leaseMs, validMs } = options.settings;
-			context.record({ type: 'term', term, holder, leaseMs, validMs }, now);
+			context.recordTerm(now);
 			for (const state of context.workers.current()) {
 				watch.watch(state, now);
 			}
--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -4,7 +4,7 @@
 import type { EngineEffect, EngineSettings, NoteDecision } from './engineMessages.js';
 import type { Job, Step, TaskRun } from './jobs/job.js';
 import { createJobTable, type JobTable } from './jobs/jobTable.js';
-import { isHostEvent, type AcceptedJob, type JournalEvent, type QueueTerms } from './jobs/journalEvent.js';
+import { isHostEvent, weightOf, type AcceptedJob, type JournalEvent, type QueueTerms } from './jobs/journalEvent.js';
 import { createHostBook, type HostBook } from './hosts/hostBook.js';
 import { createArrivingWork, type ArrivingWork } from './pools/poolDemand.js';
 import { chainsFrom, longestChain, type StepTime } from './scheduling/chains.js';
@@ -50,6 +50,8 @@
 	readonly readySteps: Set<Step>;
 	/** The term, once the daemon leads and has read the journal. */
 	term: number | undefined;
+	/** Name of the daemon that leads. */
+	holder: string;
 	/** When the term began. */
 	ledSince: number;
 	/** What earlier leaders may still do to workers that this one does not reach. */
@@ -70,6 +72,10 @@
 	apply(event: JournalEvent, offset: number, now: number): void;
 	/** Records events, applies them, and puts them into the next batch. */
 	record(event: JournalEvent, now: number): void;
+	/** Records who leads and how long leases may last that this leader extends. */
+	recordTerm(now: number): void;
+	/** Weight of all events recorded under this term and read before it. */
+	journalWeight: number;
 	/** Number of the batch that the next events get. */
 	readonly nextBatch: number;
 	/** Number of the last batch that the journal has stored. */
@@ -175,6 +181,7 @@
 	const hosts = createHostBook();
 
 	const apply = (event: JournalEvent, offset: number, now: number): void => {
+		context.journalWeight += weightOf(event);
 		if (event.type === 'term' && context.term === undefined) {
 			const { predecessor } = context;
 			predecessor.leaseMs = Math.max(predecessor.leaseMs, event.leaseMs);
@@ -184,6 +191,9 @@
 		} else if (event.type === 'settled') {
 			context.predecessor.isSettled = true;
 		}
+		if (event.type === 'learned' && context.term === undefined) {
+			durations.restore(event.queues);
+		}
 		if (isHostEvent(event)) {
 			hosts.apply(event, offset, now);
 		} else {
@@ -201,6 +211,7 @@
 		arrivingWork: createArrivingWork(),
 		readySteps,
 		term: undefined,
+		holder: '',
 		ledSince: 0,
 		predecessor: { stoppedAt: undefined, isFirst: true, isSettled: true, leaseMs: 0, validMs: 0 },
 		plan: undefined,
@@ -212,10 +223,15 @@
 		needsPass: false,
 		hosts,
 		apply,
+		journalWeight: 0,
 		record: (event, now) => {
 			events.push(event);
 			apply(event, 0, now);
 		},
+		recordTerm: now => {
+			const { leaseMs, validMs } = options.settings;
+			context.record({ type: 'term', term: context.term ?? 0, holder: context.holder, leaseMs, validMs }, now);
+		},
 		get nextBatch() {
 			return nextBatch;
 		},
--- a/packages/engine/src/common/hosts/hostBook.ts
+++ b/packages/engine/src/common/hosts/hostBook.ts
@@ -85,6 +85,8 @@
 	/** Offset of the record from which the book can be rebuilt; `undefined` when it needs none. */
 	readonly baseOffset: number | undefined;
 	readonly baseAt: number;
+	/** Whether the journal is being rewritten, so that the book has to be as well. */
+	isRewriteDue: boolean;
 	/** The rewritten book is stored. */
 	rebased(offset: number, now: number): void;
 }
@@ -141,7 +143,8 @@
 		},
 		'hosts-rewritten': ({ orders: open, waves: progress, last }, now) => {
 			last.forEach(order => lastOrders.set(order[0], order));
-			open.forEach(order => addOrder(order, now));
+			// While this daemon leads it knows more of its orders than it writes down.
+			open.filter(({ host }) => !orders.has(host)).forEach(order => addOrder(order, now));
 			progress.forEach(({ wave, settled }) => settled.forEach(host => settledOf(wave).add(host)));
 		},
 	};
@@ -183,6 +186,7 @@
 		get baseAt() {
 			return baseAt;
 		},
+		isRewriteDue: false,
 		rebased: (offset, now) => {
 			baseOffset = offset;
 			baseAt = now;
--- a/packages/engine/src/common/hosts/hostKeeping.ts
+++ b/packages/engine/src/common/hosts/hostKeeping.ts
@@ -96,9 +96,10 @@
 			emptyLeavers(now);
 			if (
 				hosts.baseOffset !== undefined &&
-				now > hosts.baseAt + settings.rewriteAfterMs &&
+				(hosts.isRewriteDue || now > hosts.baseAt + settings.rewriteAfterMs) &&
 				rewrittenBatch === undefined
 			) {
+				hosts.isRewriteDue = false;
 				const rewritten = hosts.rewrite(context.term ?? 0);
 				if (rewritten !== undefined) {
 					context.record(rewritten, now);
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -10,9 +10,10 @@
 	type TaskRun,
 } from './job.js';
 import type { JobTimes } from '../scheduling/order.js';
-import type { AcceptedJob, EndedRun, JobEvent, RewrittenTask, StartedRun } from './journalEvent.js';
+import type { AcceptedJob, ClosedJob, EndedRun, JobEvent, RewrittenTask, StartedRun } from './journalEvent.js';
+import { createClosedJob } from './rewriteJob.js';
 import { parseTaskName } from './taskName.js';
-import { parseWorkerKey, workerKey } from '../workers/workerKey.js';
+import { workerKey } from '../workers/workerKey.js';
 
 /** Learns of changes of the table, so that room, caps and queues follow it. */
 export interface JobTableListener {
@@ -37,8 +38,6 @@
 	apply(event: JobEvent, offset: number, now: number): void;
 	/** Makes the repetitions that are due. @param wallNow milliseconds since 1970 @returns when the next one is due */
 	openDue(wallNow: number, now: number): number | undefined;
-	/** Everything needed to rebuild the job. */
-	rewrite(job: Job): JobEvent;
 	/** Drops the tasks of an ended job without runs, of which only the state is asked for. */
 	compact(job: Job): void;
 }
@@ -248,6 +247,19 @@
 		}
 	};
 
+	const restoreClosed = ([id, queue, team, state, acceptedAt]: ClosedJob, offset: number, now: number): void => {
+		const known = jobs.get(id);
+		if (known !== undefined) {
+			known.baseOffset = offset;
+			known.baseAt = now;
+			return;
+		}
+		const job = createClosedJob({ id, queue, team, acceptedAt }, offset, now);
+		jobs.set(id, job);
+		listener.jobAdded(job);
+		endJob(job, state, now);
+	};
+
 	const remove = (job: Job): void => {
 		for (const occurrence of job.occurrences.values()) {
 			for (const step of occurrence.steps) {
@@ -303,6 +315,8 @@
 				}
 			}
 		},
+		closed: ({ jobs: closed }, offset, now) => closed.forEach(job => restoreClosed(job, offset, now)),
+		learned: () => undefined,
 		rewritten: ({ job: accepted, state, tasks, active }, offset, now) => {
 			const known = jobs.get(accepted.id);
 			if (known !== undefined) {
@@ -354,32 +368,6 @@
 			}
 			return next;
 		},
-		rewrite: job => {
-			const tasks: RewrittenTask[] = [];
-			const active: StartedRun[] = [];
-			for (const occurrence of job.occurrences.values()) {
-				for (const step of occurrence.steps) {
-					for (const { index, lastRun, failures, checkpoint, state, runs, name } of step.tasks) {
-						if (lastRun > 0 || state === 'done') {
-							tasks.push([
-								occurrence.number,
-								step.number,
-								index,
-								lastRun,
-								failures,
-								checkpoint,
-								state === 'done' ? 1 : 0,
-							]);
-						}
-						for (const run of runs) {
-							const { worker, life } = parseWorkerKey(run.workerKey);
-							active.push([name, run.run, worker, life, run.isCopy]);
-						}
-					}
-				}
-			}
-			return { type: 'rewritten', job: job.accepted, state: job.state, tasks, active };
-		},
 		compact: job => {
 			if (job.state !== 'open' && job.activeRuns === 0) {
 				job.occurrences.clear();
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -42,6 +42,26 @@
 	isDone: 0 | 1,
 ];
 
+/** A job that has ended and of which only the state is asked for. */
+export type ClosedJob = readonly [
+	job: string,
+	queue: string,
+	team: string | undefined,
+	state: 'done' | 'failed' | 'cancelled',
+	acceptedAt: number,
+];
+
+/** What the runs of one queue have taught about how long its steps take; see `durations.ts`. */
+export interface LearnedQueue {
+	readonly queue: string;
+	readonly logActual: number;
+	readonly logEstimate: number;
+	readonly estimateVariance: number;
+	readonly covariance: number;
+	readonly spreadVariance: number;
+	readonly steps: number;
+}
+
 /** What is ordered for a host. */
 export type HostAction =
 	{ readonly type: 'move'; readonly pool: string } | { readonly type: 'upkeep'; readonly wave: number };
@@ -117,7 +137,11 @@
 	| { readonly type: 'failed'; readonly job: string }
 	/** The state of the job need not be answered any longer. */
 	| { readonly type: 'forgotten'; readonly jobs: readonly string[] }
-	/** The whole state of a job whose first record grows old. */
+	/** Jobs that have ended, written again without their steps so that the records before need not be read. */
+	| { readonly type: 'closed'; readonly jobs: readonly ClosedJob[] }
+	/** What was learned about the queues so far. */
+	| { readonly type: 'learned'; readonly queues: readonly LearnedQueue[] }
+	/** The whole state of a job, so that the records before need not be read. */
 	| {
 			readonly type: 'rewritten';
 			readonly job: AcceptedJob;
@@ -136,3 +160,15 @@
 export function isHostEvent(event: JournalEvent): event is HostEvent {
 	return hostEventTypes.has(event.type);
 }
+
+/** How much a reader has to do for an event: the jobs, runs and tasks that it names. */
+export function weightOf(event: JournalEvent): number {
+	switch (event.type) {
+		case 'started':
+		case 'ended':
+		case 'dropped':
+			return event.runs.length;
+		default:
+			return 1;
+	}
+}
--- a/packages/engine/src/common/scheduling/durations.ts
+++ b/packages/engine/src/common/scheduling/durations.ts
@@ -1,3 +1,5 @@
+import type { LearnedQueue } from '../jobs/journalEvent.js';
+
 /** What the tasks of a queue really take, learned from the steps that ended well. */
 export interface Durations {
 	/**
@@ -6,6 +8,10 @@
 	 * @param actualMs times at work of its tasks, in milliseconds
 	 */
 	record(queue: string, estimateMs: number, actualMs: readonly number[]): void;
+	/** Everything that was learned, for a successor. */
+	learned(): readonly LearnedQueue[];
+	/** Takes over what a predecessor has learned. */
+	restore(queues: readonly LearnedQueue[]): void;
 	/** Expected time of a task in milliseconds. */
 	expect(queue: string, estimateMs: number): number;
 	/** Expected time of the longest of `count` tasks that begin together, in milliseconds. */
@@ -33,19 +39,8 @@
 /** Expected maximum of 1, 2, 4, 8, ... independent standard normal values; a standard table of order statistics. */
 const EXPECTED_MAXIMA = [0, 0.564, 1.029, 1.424, 1.766, 2.07, 2.343];
 
-interface QueueAverages {
-	/** Mean of the logarithm of the actual times. */
-	logActual: number;
-	/** Mean of the logarithm of the declared times. */
-	logEstimate: number;
-	/** Variance of the logarithm of the declared times. */
-	estimateVariance: number;
-	/** Covariance of the two logarithms. */
-	covariance: number;
-	/** Variance of the logarithm of the times within a step. */
-	spreadVariance: number;
-	steps: number;
-}
+/** Means, variances and the covariance of the logarithms of declared and actual times. */
+type QueueAverages = { -readonly [Key in keyof LearnedQueue]: LearnedQueue[Key] };
 
 /** Expected maximum of `count` independent standard normal values. */
 function expectedMaximum(count: number): number {
@@ -97,6 +92,7 @@
 			let known = queues.get(queue);
 			if (known === undefined) {
 				known = {
+					queue,
 					logActual,
 					logEstimate,
 					estimateVariance: FIRST_ESTIMATE_VARIANCE,
@@ -119,6 +115,8 @@
 			}
 			learnSpread(known, logs, weight);
 		},
+		learned: () => [...queues.values()].map(known => ({ ...known })),
+		restore: learned => learned.forEach(known => queues.set(known.queue, { ...known })),
 		expect,
 		expectLongest: (queue, estimateMs, count) => {
 			const spread = Math.sqrt(queues.get(queue)?.spreadVariance ?? FIRST_SPREAD ** 2);
--- a/packages/engine/src/test/fleetModel.ts
+++ b/packages/engine/src/test/fleetModel.ts
@@ -290,6 +290,7 @@
 		}
 	};
 
+	let firstRecord = 0;
 	const takeSeat = (): LeaderSeat => {
 		const engine = createEngine({
 			settings: modelSettings,
@@ -298,7 +299,7 @@
 			wallNow: () => now,
 		});
 		epoch += 10;
-		journal.forEach((event, offset) => engine.replay(event, offset, now));
+		journal.slice(firstRecord).forEach((event, index) => engine.replay(event, firstRecord + index, now));
 		const created: LeaderSeat = {
 			engine,
 			term: epoch,
@@ -324,6 +325,7 @@
 
 	const step = (): void => {
 		now += STEP_MS;
+		firstRecord = Math.max(firstRecord, seat.engine.trimBefore());
 		workers.forEach(worker => worker.advance(now));
 		for (;;) {
 			const index = planned.findIndex(({ at }) => at <= now);
