--- a/packages/coordinator/src/common/coordinatorSettings.ts
+++ b/packages/coordinator/src/common/coordinatorSettings.ts
@@ -41,4 +41,8 @@
 	readonly standstillMs: number;
 	/** Time without proof that the term still holds after which a leader gives it up. */
 	readonly validMs: number;
+	/** Time that this daemon leaves others to take a term that has no leader, since they have more processor time. */
+	readonly standAfterMs: number;
+	/** The same when there was no leader before; daemons that start together do not start at one moment. */
+	readonly standFirstAfterMs: number;
 }
--- a/packages/coordinator/src/node/leadership/leadershipTask.ts
+++ b/packages/coordinator/src/node/leadership/leadershipTask.ts
@@ -205,7 +205,7 @@
 
 	/** Takes the term of a leader that has stepped down. @returns whether this daemon has led */
 	const succeed = async (end: number, signal: AbortSignal): Promise<boolean> => {
-		await delay(random.nextInteger(STAND_SPREAD_MS), signal);
+		await delay(settings.standAfterMs + random.nextInteger(STAND_SPREAD_MS), signal);
 		const identity = signal.aborted || isRetired ? undefined : await stand(end, signal);
 		if (identity === undefined) {
 			return false;
@@ -262,7 +262,8 @@
 			await delay(TRY_AGAIN_MS, signal);
 			return;
 		}
-		await delay(random.nextInteger(STAND_SPREAD_MS), signal);
+		const standAfterMs = stored.type === 'none' ? settings.standFirstAfterMs : settings.standAfterMs;
+		await delay(standAfterMs + random.nextInteger(STAND_SPREAD_MS), signal);
 		const identity = signal.aborted ? undefined : await stand(stored.end, signal);
 		if (identity !== undefined) {
 			await lead(identity, formerOf(stored), signal);
