Count waiting tasks by the time left when a new host comes, and stand at once for a free term

Waiting tasks were counted half because their jobs had 1.4 s left, which is over before a host that is ordered serves (1.9 s); tasks hold their room while their start is written down, which was not counted, and takes half of a short task while the store is slow. A new leader needed 0.44 s from its first line to its term, most of it for questions to daemons that were still starting. Change: the time left is taken at the arrival of the host; the delay of starts is averaged and added; no daemon is asked when the former leader's process says that it does not lead, or was an earlier one of this host. A daemon whose record is on its way answers only once it knows.

--- a/packages/coordinator/src/common/candidacy.ts
+++ b/packages/coordinator/src/common/candidacy.ts
@@ -15,6 +15,15 @@
 /** What the daemon does next. `follow`: the leader lives and only this daemon does not hear it. */
 export type CandidacyDecision = 'stand' | 'wait' | 'follow';
 
+/**
+ * Whether the term is surely without a leader, so that the other daemons need not be asked: its leader stepped down, was an
+ * earlier process of this entry host, or its process says that it does not lead. Whoever appends first has the next term.
+ * After all daemons were lost together, asking those that are still starting takes a quarter of a second.
+ */
+export function needsNoPeers(record: CandidacyFacts['record'], isDenied: boolean): boolean {
+	return record === 'resigned' || record === 'own-former' || isDenied;
+}
+
 /**
  * Decides whether a daemon that does not hear the leader takes its place. A daemon that alone is cut off must not depose
  * a leader that the others hear, and a daemon that reaches nobody relies on the leader's records in the store.
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -21,8 +21,10 @@
 	const notLeading = (): NotLeading => ({ type: 'not-leading', leader: leadership.leader() });
 
 	return {
-		'peer.hello': ({ entryHost }, link) => {
+		'peer.hello': async ({ entryHost }, link) => {
 			link.peer = entryHost;
+			// Whoever has read a new record of this daemon must not be told that it does not lead.
+			await leadership.decided();
 			return { entryHost: self.entryHost, leader: leadership.isLeading ? leadership.leader() : undefined };
 		},
 		'leader.heard': () => ({ leader: leadership.leader(), silentForMs: leadership.silentForMs() }),
--- a/packages/coordinator/src/node/leadership/leadershipTask.ts
+++ b/packages/coordinator/src/node/leadership/leadershipTask.ts
@@ -4,7 +4,7 @@
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import type { NoteDecision } from '@chestnutwheel/engine/common/engineMessages.js';
-import { decideCandidacy, type CandidacyFacts } from '../../common/candidacy.js';
+import { decideCandidacy, needsNoPeers, type CandidacyFacts } from '../../common/candidacy.js';
 import type { LeadershipSettings } from '../../common/coordinatorSettings.js';
 import type { LeaderIdentity, PeerMethods } from '../../common/peerProtocol.js';
 import type { PeerLink } from '../peers/peerLink.js';
@@ -57,6 +57,8 @@
 	/** Time since the leader was heard, in milliseconds; 0 for the leader itself. */
 	silentForMs(): number;
 	readonly isLeading: boolean;
+	/** Resolves when it is known whether this daemon leads; a record of its own may be on its way to the store. */
+	decided(): Promise<void>;
 	/** Another daemon says that it leads. */
 	heard(alive: PeerMethods['leader.alive']['parameters'], now: number): void;
 	run(signal: AbortSignal): Promise<void>;
@@ -86,6 +88,8 @@
 	let steppedDown = new AbortController();
 	/** Where the topic ended when the leader stepped down; `undefined` once it was tried. */
 	let offeredEnd: number | undefined;
+	/** The last attempt to take a term. */
+	let standing: Promise<LeaderIdentity | undefined> = Promise.resolve(undefined);
 	/** End of the leader's topic and when it was first seen there. */
 	let observed = { end: -1, since: clock.now() };
 	const isAbroad = (identity: LeaderIdentity): boolean => identity.address !== self.address;
@@ -165,7 +169,7 @@
 	};
 
 	/** @returns the term, when this daemon leads now */
-	const stand = async (end: number, signal: AbortSignal): Promise<LeaderIdentity | undefined> => {
+	const appendTerm = async (end: number, signal: AbortSignal): Promise<LeaderIdentity | undefined> => {
 		const record: LeaderRecord = { ...self, term: 0, isResigning: false };
 		const value = log.keyedRecord(LEADER_KEY, formatLeaderRecord(record));
 		const outcome = await log.append('leader', [value], { at: end }, signal);
@@ -181,6 +185,12 @@
 		return undefined;
 	};
 
+	const stand = (end: number, signal: AbortSignal): Promise<LeaderIdentity | undefined> => {
+		const attempt = appendTerm(end, signal);
+		standing = attempt;
+		return attempt;
+	};
+
 	const formerOf = (stored: StoredLeader): FormerLeader => {
 		if (stored.type === 'other' && stored.identity !== undefined) {
 			return { type: 'unknown', address: stored.identity.address };
@@ -229,8 +239,7 @@
 			lastDoubt = '';
 			return;
 		}
-		// Whoever takes the term of a leader that stepped down first has it; nobody else has to be asked.
-		const isFree = stored.type === 'resigned';
+		const isFree = needsNoPeers(stored.type, reached === 'denied');
 		if (!isFree) {
 			await members.refresh(signal);
 		}
@@ -277,6 +286,9 @@
 		get isLeading() {
 			return isLeading;
 		},
+		decided: async () => {
+			await standing;
+		},
 		heard: ({ leader: identity, isResigning, topicEnd }, now) => {
 			adopt(identity);
 			if (leader?.term === identity.term) {
--- /dev/null
+++ b/packages/coordinator/src/test/candidacy.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from 'vitest';
+import { decideCandidacy, needsNoPeers, type CandidacyFacts } from '../common/candidacy.js';
+
+const STANDSTILL_MS = 2_500;
+
+const facts: CandidacyFacts = {
+	record: 'other',
+	isDenied: false,
+	peersAnswered: 0,
+	isHeardByPeer: false,
+	standstillMs: 0,
+};
+
+describe('a daemon that does not hear the leader', () => {
+	it.each([
+		{ record: 'resigned', isDenied: false },
+		{ record: 'own-former', isDenied: false },
+		{ record: 'other', isDenied: true },
+	] as const)(
+		'stands without asking anybody when the term is free: $record, denied $isDenied',
+		({ record, isDenied }) => {
+			expect(needsNoPeers(record, isDenied)).toBe(true);
+			expect(decideCandidacy({ ...facts, record, isDenied }, STANDSTILL_MS)).toBe('stand');
+		},
+	);
+
+	it('asks the others about a leader that it only does not reach', () => {
+		expect(needsNoPeers('other', false)).toBe(false);
+		expect(needsNoPeers('none', false)).toBe(false);
+		expect(decideCandidacy(facts, STANDSTILL_MS)).toBe('wait');
+		expect(decideCandidacy({ ...facts, peersAnswered: 2 }, STANDSTILL_MS)).toBe('stand');
+		expect(decideCandidacy({ ...facts, peersAnswered: 2, isHeardByPeer: true }, STANDSTILL_MS)).toBe('follow');
+	});
+});
--- /dev/null
+++ b/packages/coordinator/src/test/peerHandlers.test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from 'vitest';
+import type { LeaderIdentity } from '../common/peerProtocol.js';
+import { createPeerHandlers } from '../node/entry/peerHandlers.js';
+import type { LeadershipTask } from '../node/leadership/leadershipTask.js';
+import type { PlanKeeper } from '../node/plan/planKeeper.js';
+
+const identity: LeaderIdentity = { term: 5, entryHost: 'front-1', address: '10.0.0.1:7000' };
+
+describe('a daemon whose record of a new term is on its way to the store', () => {
+	it('says that it leads once it knows, and not before that it does not', async () => {
+		let isLeading = false;
+		let decide: () => void = () => undefined;
+		const decided = new Promise<void>(resolve => {
+			decide = resolve;
+		});
+		const leadership = {
+			leader: () => identity,
+			decided: () => decided,
+			get isLeading() {
+				return isLeading;
+			},
+		} as Partial<LeadershipTask> as LeadershipTask;
+		const handlers = createPeerHandlers({
+			self: { entryHost: 'front-1' },
+			leadership,
+			term: () => undefined,
+			plan: {} as PlanKeeper,
+			storeReachable: () => Promise.resolve(true),
+			clock: { now: () => 0, wallNow: () => 0 },
+		});
+		const answer = handlers['peer.hello']({ entryHost: 'front-2' }, { peer: undefined });
+		isLeading = true;
+		decide();
+		expect(await answer).toEqual({ entryHost: 'front-1', leader: identity });
+	});
+});
--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -9,6 +9,7 @@
 import { createArrivingWork, type ArrivingWork } from './pools/poolDemand.js';
 import { chainsFrom, longestChain, type StepTime } from './scheduling/chains.js';
 import { createDurations, type Durations } from './scheduling/durations.js';
+import { createStartDelay, type StartDelay } from './scheduling/startDelay.js';
 import type { JobTimes } from './scheduling/order.js';
 import { createTeamRates } from './scheduling/teamRates.js';
 import { createTeamUsage, type TeamUsage } from './scheduling/teamUsage.js';
@@ -44,6 +45,7 @@
 	readonly hosts: HostBook;
 	readonly teams: TeamUsage;
 	readonly durations: Durations;
+	readonly startDelay: StartDelay;
 	readonly advice: AdviceBook;
 	readonly arrivingWork: ArrivingWork;
 	/** Open steps with tasks that wait, by pool. */
@@ -207,6 +209,7 @@
 		workers,
 		teams,
 		durations,
+		startDelay: createStartDelay(),
 		advice: createAdviceBook(),
 		arrivingWork: createArrivingWork(),
 		readySteps,
--- a/packages/engine/src/common/jobs/jobCalls.ts
+++ b/packages/engine/src/common/jobs/jobCalls.ts
@@ -49,7 +49,8 @@
 	};
 
 	const noteArrival = (pool: string, queue: string, spec: JobSpec, now: number): void => {
-		const expect = (estimateMs: number): number => context.durations.expect(queue, estimateMs);
+		const expect = (estimateMs: number): number =>
+			context.startDelay.milliseconds + context.durations.expect(queue, estimateMs);
 		context.arrivingWork.accepted(pool, spec, expect, longestChain(chainsFrom(spec, context.stepTimes(queue))), now);
 	};
 
--- a/packages/engine/src/common/pools/poolDemand.ts
+++ b/packages/engine/src/common/pools/poolDemand.ts
@@ -105,11 +105,15 @@
 /** Part of a job's spare time that its waiting tasks may use; the rest is left for the steps behind them. */
 const USABLE_SLACK = 0.5;
 
+/** Time in milliseconds until a host that is ordered now serves: the platform's 1.5 s for a move, and its worker's entry. */
+const HOST_COMES_MS = 1_900;
+
 /**
- * Room for waiting tasks: the more time their job has to spare, the more of them can follow each other on the same room.
+ * Room for waiting tasks: the more time their job has to spare when new hosts come, the more of them can follow each other on
+ * the same room.
  * @param slackMs time until the step has to begin so that the job meets its objective
  */
 export function roomForWaiting(demand: Room, count: number, expectedMs: number, slackMs: number): Room {
-	const usableMs = USABLE_SLACK * Math.max(0, slackMs);
+	const usableMs = USABLE_SLACK * Math.max(0, slackMs - HOST_COMES_MS);
 	return scaleRoom(demand, (count * expectedMs) / (expectedMs + usableMs));
 }
--- a/packages/engine/src/common/pools/poolKeeping.ts
+++ b/packages/engine/src/common/pools/poolKeeping.ts
@@ -110,7 +110,8 @@
 			if (step.spec.isLasting) {
 				demand.lasting = addRoom(demand.lasting, scaleRoom(one, step.waiting));
 			} else {
-				const expected = context.durations.expect(job.accepted.queue, step.spec.estimateMs);
+				const expected =
+					context.startDelay.milliseconds + context.durations.expect(job.accepted.queue, step.spec.estimateMs);
 				const { startBy } = stepUrgency(step, job.times, now);
 				const room = roomForWaiting(one, countWithinCap(step, teamRoom), expected, startBy - now);
 				demand.waiting = addRoom(demand.waiting, room);
@@ -228,7 +229,7 @@
 	};
 
 	/** Says why a pool waits for hosts: all are at work, away, or were ordered about by a predecessor just now. */
-	const noteShortage = (
+	const watchShortage = (
 		needsNow: readonly ExplainedNeed[],
 		moves: readonly PoolMove[],
 		idle: readonly MovableHost[],
--- a/packages/engine/src/common/workers/workerDoubt.ts
+++ b/packages/engine/src/common/workers/workerDoubt.ts
@@ -1,4 +1,7 @@
-import type { WorkerState } from './workerState.js';
+import type { RunOutcome, WorkerState } from './workerState.js';
+
+/** Outcomes of runs that are remembered of a worker. */
+const REMEMBERED_OUTCOMES = 16;
 
 /** Outcomes older than this say nothing about a worker any more, in milliseconds. */
 const OUTCOME_AGE_MS = 6_000;
@@ -23,6 +26,14 @@
 	readonly asideUntil: number;
 }
 
+/** Remembers how a run ended. */
+export function recordOutcome({ outcomes }: Pick<WorkerState, 'outcomes'>, outcome: RunOutcome): void {
+	outcomes.push(outcome);
+	if (outcomes.length > REMEMBERED_OUTCOMES) {
+		outcomes.shift();
+	}
+}
+
 const noDoubt: WorkerDoubt = { load: 0, asideUntil: 0 };
 
 /**
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -69,7 +69,14 @@
 	/** Host orders keep new work away. */
 	isClosing: boolean;
 	/** Outcomes of runs, most recent last: true for a good one. */
-	readonly outcomes: { readonly good: boolean; readonly at: number; readonly job: string }[];
+	readonly outcomes: RunOutcome[];
+}
+
+/** How a run ended that its worker was free to end well or badly. */
+export interface RunOutcome {
+	readonly good: boolean;
+	readonly at: number;
+	readonly job: string;
 }
 
 /** Key of a run on a worker. */
--- a/packages/engine/src/common/workers/workerWatch.ts
+++ b/packages/engine/src/common/workers/workerWatch.ts
@@ -17,6 +17,7 @@
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
 import { createStalledRuns } from './stalledRuns.js';
+import { recordOutcome } from './workerDoubt.js';
 import { parseWorkerKey } from './workerKey.js';
 import { createWorkerLives, LATEST_ORDER_MS } from './workerLives.js';
 import { runKey, type LostStart, type WorkerState } from './workerState.js';
@@ -27,9 +28,6 @@
 /** A worker that refuses or fails orders gets no new work for this time. */
 const AVOID_REFUSING_MS = 1_000;
 
-/** Outcomes of runs that are remembered to judge a worker. */
-const REMEMBERED_OUTCOMES = 16;
-
 /** What happens at the workers: looks, orders, and what is known from them. */
 export interface WorkerWatch {
 	/**
@@ -164,10 +162,7 @@
 			task.step.tookMs.push(now - run.confirmedAt);
 		}
 		if (end === 'done' || end === 'failed') {
-			state.outcomes.push({ good: end === 'done', at: now, job: accepted.id });
-			if (state.outcomes.length > REMEMBERED_OUTCOMES) {
-				state.outcomes.shift();
-			}
+			recordOutcome(state, { good: end === 'done', at: now, job: accepted.id });
 		}
 	};
 
@@ -243,6 +238,9 @@
 				return;
 			}
 			answered(state, clockMs, now);
+			if (run.confirmedAt === undefined) {
+				context.startDelay.record(now - run.decidedAt);
+			}
 			run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
 			run.confirmedAt ??= now;
 			if (run.phase === 'starting' || run.phase === 'unsure') {
