--- a/packages/engine/src/common/pools/poolKeeping.ts
+++ b/packages/engine/src/common/pools/poolKeeping.ts
@@ -229,7 +229,7 @@
 	};
 
 	/** Says why a pool waits for hosts: all are at work, away, or were ordered about by a predecessor just now. */
-	const watchShortage = (
+	const noteShortage = (
 		needsNow: readonly ExplainedNeed[],
 		moves: readonly PoolMove[],
 		idle: readonly MovableHost[],
