Keep the state of closed jobs of open queues readable after a handover

Cause: an ended job without a team was written with undefined in a tuple, which JSON turns into null; a new leader then took the job for one of another team and would have answered 410. Change: an empty text stands for no team.

--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -254,7 +254,7 @@
 			known.baseAt = now;
 			return;
 		}
-		const job = createClosedJob({ id, queue, team, acceptedAt }, offset, now);
+		const job = createClosedJob({ id, queue, team: team === '' ? undefined : team, acceptedAt }, offset, now);
 		jobs.set(id, job);
 		listener.jobAdded(job);
 		endJob(job, state, now);
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -46,7 +46,8 @@
 export type ClosedJob = readonly [
 	job: string,
 	queue: string,
-	team: string | undefined,
+	/** Empty for a job of an open queue. */
+	team: string,
 	state: 'done' | 'failed' | 'cancelled',
 	acceptedAt: number,
 ];
@@ -163,12 +164,5 @@
 
 /** How much a reader has to do for an event: the jobs, runs and tasks that it names. */
 export function weightOf(event: JournalEvent): number {
-	switch (event.type) {
-		case 'started':
-		case 'ended':
-		case 'dropped':
-			return event.runs.length;
-		default:
-			return 1;
-	}
+	return 'runs' in event ? event.runs.length : 1;
 }
--- a/packages/engine/src/common/jobs/rewriteJob.ts
+++ b/packages/engine/src/common/jobs/rewriteJob.ts
@@ -28,7 +28,7 @@
 /** The state of a job that has ended and of which nothing can be at work; `undefined` for any other job. */
 export function closeJob({ accepted, state, activeRuns }: Job): ClosedJob | undefined {
 	const { id, queue, team, acceptedAt } = accepted;
-	return state === 'open' || activeRuns > 0 ? undefined : [id, queue, team, state, acceptedAt];
+	return state === 'open' || activeRuns > 0 ? undefined : [id, queue, team ?? '', state, acceptedAt];
 }
 
 /** Nothing of a closed job is started, so that neither its steps nor the rules of its queue are needed. */
--- a/packages/engine/src/test/journalLength.test.ts
+++ b/packages/engine/src/test/journalLength.test.ts
@@ -25,9 +25,9 @@
 	harness.run(2_000);
 }
 
-/** What a successor reads after everything was trimmed that may be. */
+/** What a successor reads after everything was trimmed that may be; the journal holds JSON. */
 function trimmed({ journal, engine }: EngineHarness): readonly JournalEvent[] {
-	return journal.slice(engine.trimBefore());
+	return JSON.parse(JSON.stringify(journal.slice(engine.trimBefore()))) as readonly JournalEvent[];
 }
 
 describe('the journal of a leader that ends many jobs', () => {
