--- a/packages/engine/src/test/fleetModel.ts
+++ b/packages/engine/src/test/fleetModel.ts
@@ -6,6 +6,7 @@
 import { createEngine, type Engine } from '../common/engine.js';
 import type { EngineEffect } from '../common/engineMessages.js';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
+import { storedFrom } from './storedJournal.js';
 import { parseTaskName } from '../common/jobs/taskName.js';
 import { createFleetChecker, type FleetChecker } from './fleetChecker.js';
 import { CALL_TIMEOUT_MS, createModelNetwork, type CallKind, type ModelFaults } from './modelNetwork.js';
@@ -299,7 +300,7 @@
 			wallNow: () => now,
 		});
 		epoch += 10;
-		journal.slice(firstRecord).forEach((event, index) => engine.replay(event, firstRecord + index, now));
+		storedFrom(journal, firstRecord).forEach((event, index) => engine.replay(event, firstRecord + index, now));
 		const created: LeaderSeat = {
 			engine,
 			term: epoch,
@@ -322,7 +323,6 @@
 
 	let seat = takeSeat();
 	const seats = [seat];
-
 	const step = (): void => {
 		now += STEP_MS;
 		firstRecord = Math.max(firstRecord, seat.engine.trimBefore());
--- a/packages/engine/src/test/journalLength.test.ts
+++ b/packages/engine/src/test/journalLength.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
 import { createEngineHarness, harnessJob, harnessQueue, harnessStep, type EngineHarness } from './engineHarness.js';
+import { storedFrom } from './storedJournal.js';
 
 const options = {
 	pools: [{ name: 'desk', isStandby: false, guardsRoom: false }],
@@ -25,9 +26,9 @@
 	harness.run(2_000);
 }
 
-/** What a successor reads after everything was trimmed that may be; the journal holds JSON. */
+/** What a successor reads after everything was trimmed that may be. */
 function trimmed({ journal, engine }: EngineHarness): readonly JournalEvent[] {
-	return JSON.parse(JSON.stringify(journal.slice(engine.trimBefore()))) as readonly JournalEvent[];
+	return storedFrom(journal, engine.trimBefore());
 }
 
 describe('the journal of a leader that ends many jobs', () => {
