Look every ended task up once, and learn from each step once

Cause: reading the change again showed that each batch of ends parsed and looked up every task name twice on a hot path, the second time only to find its step. Change: the loop over the ends collects the steps; learning takes a step and no longer an absent one.

--- a/packages/engine/src/common/jobs/endRuns.ts
+++ b/packages/engine/src/common/jobs/endRuns.ts
@@ -94,8 +94,8 @@
 	};
 
 	/** Learns from a step that has ended how long such steps take, and what time the rest of its job has. */
-	const learnStep = (step: Step | undefined): void => {
-		if (step?.done !== step?.tasks.length || step === undefined || step.isLearned) {
+	const learnStep = (step: Step): void => {
+		if (step.done !== step.tasks.length || step.isLearned) {
 			return;
 		}
 		step.isLearned = true;
@@ -107,6 +107,7 @@
 	return {
 		ended: (ends, worker, now) => {
 			context.record({ type: 'ended', runs: ends }, now);
+			const steps = new Set<Step>();
 			const settled = new Set<Job>();
 			for (const [name, run, end] of ends) {
 				if (end === 'failed' || end === 'lapsed') {
@@ -115,10 +116,11 @@
 				const task = jobs.task(name);
 				if (task !== undefined) {
 					afterEnd[end](task, worker, now);
+					steps.add(task.step);
 					settled.add(task.step.occurrence.job);
 				}
 			}
-			ends.forEach(([name]) => learnStep(jobs.task(name)?.step));
+			steps.forEach(learnStep);
 			settled.forEach(job => settleJob(job, now));
 		},
 		lost: (run, reason, now) => {
