--- a/packages/coordinator/src/common/peerProtocol.ts
+++ b/packages/coordinator/src/common/peerProtocol.ts
@@ -27,6 +27,15 @@
 	readonly version: number;
 }
 
+/** What a leader needs to know of a follower to choose its successor. */
+export interface FollowerStatus {
+	readonly entryHost: string;
+	/** Whether the follower has the processor time to lead and is not about to stop. */
+	readonly canLead: boolean;
+	/** Time since the process of the follower started, in milliseconds. */
+	readonly uptimeMs: number;
+}
+
 /** Methods of the peer protocol: JSON-RPC 2.0 in both directions of one TCP connection. */
 export interface PeerMethods {
 	/** Opens a session. `leader` is set only if the answering daemon leads itself. */
@@ -47,8 +56,10 @@
 			readonly isResigning: boolean;
 			/** End offset of the leader topic on a voluntary resignation, so that a successor need not read the store first. */
 			readonly topicEnd?: number | undefined;
+			/** Entry host that the resigning leader has chosen as its successor. The other daemons stand only after it. */
+			readonly successor?: string | undefined;
 		};
-		readonly result: { readonly planVersion: number };
+		readonly result: { readonly planVersion: number } & FollowerStatus;
 	};
 	'job.submit': { readonly parameters: Submission; readonly result: SubmitDecision | NotLeader | StalePlan };
 	'job.cancel': {
--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -12,18 +12,13 @@
 import type { WorkerService } from '@chestnutwheel/ports/common/workerService.js';
 import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { CoordinatorSettings } from '../common/coordinatorSettings.js';
-import type { LeaderIdentity, PeerHandlers } from '../common/peerProtocol.js';
+import type { PeerHandlers } from '../common/peerProtocol.js';
 import { createCallService, type CallService } from './entry/callService.js';
 import { createLeaderClient } from './entry/leaderClient.js';
 import { createPeerHandlers } from './entry/peerHandlers.js';
-import { maintainTerm } from './leader/maintainTerm.js';
 import { beginTerm, type LeaderTerm } from './leader/leaderTerm.js';
-import {
-	createLeaderElection,
-	type Predecessor,
-	type LeaderElection,
-	type TermOutcome,
-} from './leadership/leaderElection.js';
+import { createTermLeader } from './leader/leadTerm.js';
+import { createLeaderElection, type LeaderElection } from './leadership/leaderElection.js';
 import { createMemberList } from './leadership/memberList.js';
 import { createPeerNetwork } from './peers/peerNetwork.js';
 import { createPlanCache } from './plan/planCache.js';
@@ -61,6 +56,15 @@
 /** Delay before the registration of the daemon's address in the store is retried. */
 const REGISTER_RETRY_MS = 300;
 
+/**
+ * Fraction of the grace time after which a leader that is about to stop resigns even though the store does not serve it. The
+ * rest is left for the successor to begin while this process still answers.
+ */
+const RESIGN_WITHIN_FRACTION = 0.75;
+
+/** Interval at which a stopping daemon checks whether it has handed over its term. */
+const RESIGN_POLL_INTERVAL_MS = 20;
+
 /** Starts a daemon: its peer network, leader election and plan cache. */
 export async function startCoordinator(
 	settings: CoordinatorSettings,
@@ -81,52 +85,52 @@
 		address: `${host}:${port}`,
 		incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
 	};
-	let term: LeaderTerm | undefined;
+	const startedAt = clock.now();
 	let isStopping = false;
+	/** Time by which this daemon hands over its term, once it is about to stop. */
+	let resignBy = Infinity;
 	const drainController = new AbortController();
 
 	const planCache = createPlanCache(services.operatorFeed, clock, counters, logDecision);
 	const members = createMemberList(services.log, self);
 	const network = createPeerNetwork((): PeerHandlers => handlers, clock, counters, signal);
 
-	const lead = async (
-		identity: LeaderIdentity,
-		predecessor: Predecessor,
-		electionSignal: AbortSignal,
-	): Promise<TermOutcome> => {
-		const termController = new AbortController();
-		const termSignal = AbortSignal.any([electionSignal, termController.signal]);
-		setMaxListeners(0, termSignal);
-		try {
-			const startedTerm = await beginTerm(
+	const termLeader = createTermLeader<LeaderTerm>({
+		begin: (identity, proof, onBlocked, termSignal) =>
+			beginTerm(
 				identity,
-				{ settings, ...services, planCache, clock, counters, logDecision },
-				termSignal,
-			);
-			term = startedTerm;
-			return await maintainTerm(
 				{
-					term: startedTerm,
-					predecessor,
 					settings,
-					self,
-					log: services.log,
-					network,
-					members,
+					...services,
 					planCache,
 					clock,
 					counters,
 					logDecision,
-					resignation: drainController.signal,
+					proof,
+					onBlocked,
+					onFirstStart: () => recordHandover(identity.term),
 				},
 				termSignal,
-			);
-		} catch (error) {
-			logDecision('term-not-begun', { term: identity.term, reason: errorMessageOf(error) });
-			return 'deposed';
-		} finally {
-			term = undefined;
-			termController.abort();
+			),
+		settings: settings.leadership,
+		self,
+		log: services.log,
+		network,
+		members,
+		planCache,
+		clock,
+		counters,
+		logDecision,
+		resignation: drainController.signal,
+		resignBy: () => resignBy,
+	});
+	/** Records the time from the last contact to the previous leader to the first start of this term. */
+	const recordHandover = (term: number): void => {
+		const { previousLeaderSeenAt } = election;
+		if (previousLeaderSeenAt !== undefined) {
+			const handoverMs = clock.now() - previousLeaderSeenAt;
+			latencies.recordHandover(handoverMs);
+			logDecision('first-start-of-term', { term, sincePreviousLeaderMs: Math.round(handoverMs) });
 		}
 	};
 	const election: LeaderElection = createLeaderElection({
@@ -139,12 +143,17 @@
 		random,
 		counters,
 		logDecision,
-		lead,
+		lead: (identity, predecessor, electionSignal) => termLeader.lead(identity, predecessor, electionSignal),
 	});
 	const handlers: PeerHandlers = createPeerHandlers({
 		self,
+		status: () => ({
+			canLead: !isStopping && settings.leadership.standAfterMs === 0,
+			uptimeMs: Math.round(clock.now() - startedAt),
+		}),
 		election,
-		term: () => term,
+		term: () => termLeader.term(),
+		blockedSince: () => termLeader.blockedSince(),
 		planCache,
 		isStoreReachable: async () =>
 			(await services.log.newest('leader', AbortSignal.any([signal, AbortSignal.timeout(STORE_PROBE_TIMEOUT_MS)])))
@@ -177,10 +186,14 @@
 			election.leaderSilenceMs() < READY_SILENCE_MS,
 		drain: () => {
 			isStopping = true;
+			resignBy = clock.now() + settings.graceMs * RESIGN_WITHIN_FRACTION;
 			election.disableCandidacy();
 			drainController.abort();
 		},
 		stop: async () => {
+			while (election.isLeading && clock.now() < resignBy) {
+				await delay(RESIGN_POLL_INTERVAL_MS, signal);
+			}
 			await members.deregister(AbortSignal.timeout(REGISTER_RETRY_MS));
 			controller.abort();
 		},
--- a/packages/coordinator/src/node/entry/leaderClient.ts
+++ b/packages/coordinator/src/node/entry/leaderClient.ts
@@ -18,6 +18,17 @@
 /** Delay before a retry after a failed attempt or while there is no leader. */
 const RETRY_DELAY_MS = 25;
 
+/**
+ * Longest time that a call waits while no leader is known to have received it. A change of leader usually takes less. A
+ * submission is then refused, so that its caller can return in time; the other calls change nothing by waiting longer.
+ */
+const leaderlessWaitMs: Readonly<Record<LeaderMethod, number>> = {
+	'job.submit': 1_500,
+	'job.cancel': Infinity,
+	'job.state': Infinity,
+	'queue.pending': Infinity,
+};
+
 /** Client that calls the current leader. All methods are idempotent, so unanswered attempts are retried. */
 export interface LeaderClient {
 	/**
@@ -65,7 +76,8 @@
 		call: async (method, parameters, deadline, signal) => {
 			type Result = PeerMethods[typeof method]['result'];
 			let wasCallSent = false;
-			while (!signal.aborted && clock.now() < deadline) {
+			const leaderBy = clock.now() + leaderlessWaitMs[method];
+			while (!signal.aborted && clock.now() < (wasCallSent ? deadline : Math.min(deadline, leaderBy))) {
 				const attemptMs = Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, deadline - clock.now()));
 				const connection = election.leaderConnection();
 				try {
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
-import type { NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
+import type { FollowerStatus, NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
+import { refuseWhileBlocked, submitOnLeader } from './jobSubmission.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
 import type { PlanCache } from '../plan/planCache.js';
@@ -7,9 +8,13 @@
 /** Options of {@link createPeerHandlers}. */
 export interface PeerHandlersOptions {
 	readonly self: { readonly entryHost: string };
+	/** Returns whether this daemon may lead, and for how long its process has run. */
+	readonly status: () => Omit<FollowerStatus, 'entryHost'>;
 	readonly election: LeaderElection;
 	/** Returns the term of this daemon while it leads. */
 	readonly term: () => LeaderTerm | undefined;
+	/** Returns the time since which the store does not serve the takeover of the journal by this daemon, if it does not. */
+	readonly blockedSince: () => number | undefined;
 	readonly planCache: PlanCache;
 	readonly isStoreReachable: () => Promise<boolean>;
 	readonly clock: Clock;
@@ -17,7 +22,7 @@
 
 /** Creates the handlers of the peer protocol. */
 export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
-	const { self, election, term, planCache, isStoreReachable, clock } = options;
+	const { self, status, election, term, blockedSince, planCache, isStoreReachable, clock } = options;
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
 
 	return {
@@ -30,23 +35,16 @@
 		'leader.heard': () => ({ leader: election.leader(), silentForMs: election.leaderSilenceMs() }),
 		'leader.alive': alive => {
 			election.recordHeartbeat(alive, clock.now());
-			return { planVersion: planCache.current()?.version ?? 0 };
+			return { planVersion: planCache.current()?.version ?? 0, entryHost: self.entryHost, ...status() };
 		},
-		'job.submit': async submission => {
+		'job.submit': submission => {
 			const currentTerm = term();
-			if (currentTerm === undefined) {
-				return notLeading();
+			const now = clock.now();
+			if (currentTerm !== undefined) {
+				return submitOnLeader(currentTerm, submission, now);
 			}
-			const { engine } = currentTerm;
-			if ((engine.plan?.version ?? 0) < submission.planVersion) {
-				return { type: 'plan-behind', version: engine.plan?.version ?? 0 };
-			}
-			const decision = engine.submit(submission, clock.now());
-			currentTerm.flush();
-			if (decision.type === 'accepted') {
-				await currentTerm.whenStored(decision.batch);
-			}
-			return decision;
+			const since = blockedSince();
+			return (since === undefined ? undefined : refuseWhileBlocked(now - since)) ?? notLeading();
 		},
 		'job.cancel': async ({ id, team }) => {
 			const currentTerm = term();
--- a/packages/coordinator/src/node/journal/journalWriter.ts
+++ b/packages/coordinator/src/node/journal/journalWriter.ts
@@ -4,6 +4,8 @@
 import type { AppendOutcome, LogService } from '@chestnutwheel/ports/common/logService.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import { createAdaptiveTimeout } from '../../common/adaptiveTimeout.js';
+import { termReactions } from '../../common/storeReactions.js';
+import type { TermProof } from '../../common/termProof.js';
 import { encodeEvents } from './journalCodec.js';
 
 /** Name of the idempotent writer. All leaders share it, so that a higher term fences off the lower ones. */
@@ -26,6 +28,7 @@
 export interface JournalWriterOptions {
 	readonly log: LogService;
 	readonly term: number;
+	readonly proof: TermProof;
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly appendEveryMs: number;
@@ -42,88 +45,85 @@
 	readonly isBusy: boolean;
 	/** Time at which the append that is being retried was first sent; `undefined` if none is. */
 	readonly unansweredSince: number | undefined;
-	/** Send time of the last append that the log confirmed, on the monotonic clock. */
-	readonly confirmedAt: number;
-	/** The same time on the monotonic and the wall clock. */
-	readonly confirmation: TermConfirmation;
+	/**
+	 * Removes the acceptance of a job from the batches of which no record can have been stored. Readers of the journal ignore
+	 * all other events of a job that was never accepted.
+	 * @returns whether the acceptance was removed
+	 */
+	withdraw(job: string): boolean;
 }
 
-/** Time at which the store confirmed that the term was still valid. */
-export interface TermConfirmation {
-	readonly monotonicAt: number;
-	/** Wall-clock time, which also advances while the process is suspended. */
-	readonly wallAt: number;
-}
-
-/**
- * Returns the time since a confirmation, in milliseconds. It is the larger age by the two clocks, because one of them may
- * stand still while the process is suspended.
- */
-export function confirmationAge(confirmation: TermConfirmation, clock: Clock): number {
-	return Math.max(clock.now() - confirmation.monotonicAt, clock.wallNow() - confirmation.wallAt);
+interface Batch {
+	readonly batch: number;
+	readonly events: readonly JournalEvent[];
 }
 
 /** Creates a journal writer that stops when the signal is aborted. */
 export function createJournalWriter(options: JournalWriterOptions, signal: AbortSignal): JournalWriter {
-	const { log, term, clock, counters, appendEveryMs } = options;
-	const queuedBatches: { readonly batch: number; readonly events: readonly JournalEvent[] }[] = [];
+	const { log, term, proof, clock, counters, appendEveryMs } = options;
+	/** Batches of which no record can have been stored. */
+	let queuedBatches: Batch[] = [];
 	const appendTimeout = createAdaptiveTimeout({ minimumMs: MINIMUM_ANSWER_TIMEOUT_MS, maximumMs: MAXIMUM_ANSWER_TIMEOUT_MS });
 	let sequence = 1;
 	let isRunning = false;
 	let isFenced = false;
 	let lastSentAt = -Infinity;
 	let unansweredSince: number | undefined;
-	let confirmation: TermConfirmation = { monotonicAt: clock.now(), wallAt: clock.wallNow() };
 
-	const takeBatches = (): { batch: number; events: JournalEvent[] } => {
-		const events: JournalEvent[] = [];
-		let batch = 0;
-		while (queuedBatches[0] !== undefined && (events.length === 0 || events.length < MAXIMUM_EVENTS_PER_APPEND)) {
-			events.push(...queuedBatches[0].events);
-			batch = queuedBatches[0].batch;
-			queuedBatches.shift();
-		}
-		return { batch, events };
+	const takeBatches = (): Batch[] => {
+		let events = 0;
+		const count = queuedBatches.findIndex(({ events: { length } }, index) => {
+			events += length;
+			return index > 0 && events > MAXIMUM_EVENTS_PER_APPEND;
+		});
+		return queuedBatches.splice(0, count < 0 ? queuedBatches.length : count);
 	};
 
-	const appendWithTimeout = async (
-		records: readonly Uint8Array[],
-		writer: { name: string; epoch: number; sequence: number },
-	): Promise<AppendOutcome> => {
-		const sentAt = clock.now();
+	const appendWithTimeout = async (records: readonly Uint8Array[]): Promise<AppendOutcome> => {
+		const sent = proof.sendTime();
+		lastSentAt = sent.monotonicAt;
 		const answerWithinMs = Math.round(appendTimeout.currentMs);
+		const writer = { name: JOURNAL_WRITER, epoch: term, sequence };
 		const outcome = await log.append('journal', records, { writer, answerWithinMs }, signal);
+		counters.add('journal_appends_total', { outcome: outcome.type });
 		if (outcome.type === 'unknown') {
 			appendTimeout.recordTimeout();
 		} else if (outcome.type === 'appended') {
-			appendTimeout.recordLatency(clock.now() - sentAt);
+			appendTimeout.recordLatency(clock.now() - sent.monotonicAt);
+			proof.confirm(sent);
 		}
 		return outcome;
 	};
 
-	/** Appends records, with retries. @returns the offset; `undefined` when the writer was fenced off or stopped */
-	const appendOnce = async (records: readonly Uint8Array[]): Promise<number | undefined> => {
-		const writer = { name: JOURNAL_WRITER, epoch: term, sequence };
-		const firstSentAt = clock.now();
+	/**
+	 * Appends batches, with retries while the outcome of an attempt is unknown.
+	 * @returns the offset; `not-stored` when the log refused the only attempt; `stopped` when the writer was fenced off or
+	 * stopped
+	 */
+	const appendBatches = async (batches: readonly Batch[]): Promise<number | 'not-stored' | 'stopped'> => {
+		const records = encodeEvents(batches.flatMap(({ events }) => events));
+		counters.add('journal_bytes_total', {}, records.reduce((sum, record) => sum + record.length, 0));
+		let isUnknown = false;
 		while (!signal.aborted) {
-			const sent: TermConfirmation = { monotonicAt: clock.now(), wallAt: clock.wallNow() };
-			lastSentAt = sent.monotonicAt;
-			const outcome = await appendWithTimeout(records, writer);
-			counters.add('journal_appends_total', { outcome: outcome.type });
+			const sentAt = clock.now();
+			const outcome = await appendWithTimeout(records);
 			if (outcome.type === 'appended') {
 				unansweredSince = undefined;
-				confirmation = sent;
 				return outcome.offset;
 			}
-			if (outcome.type === 'fenced' || outcome.type === 'conflict' || outcome.type === 'out-of-sequence') {
+			if (termReactions['write-journal'][outcome.type] === 'lost') {
 				isFenced = true;
 				options.onFenced(`the journal rejected an append as ${outcome.type} in term ${term}`);
-				return undefined;
+				return 'stopped';
+			}
+			unansweredSince ??= sentAt;
+			isUnknown ||= outcome.type === 'unknown';
+			if (!isUnknown) {
+				return 'not-stored';
 			}
-			unansweredSince ??= firstSentAt;
 			await delay(RETRY_DELAY_MS, signal);
 		}
-		return undefined;
+		return 'stopped';
 	};
 
 	const run = async (): Promise<void> => {
@@ -132,15 +132,19 @@
 			if (delayMs > 0) {
 				await delay(delayMs, signal);
 			}
-			const { batch, events } = takeBatches();
-			const records = encodeEvents(events);
-			counters.add('journal_bytes_total', {}, records.reduce((sum, record) => sum + record.length, 0));
-			const offset = await appendOnce(records);
-			if (offset === undefined) {
+			const batches = takeBatches();
+			const last = batches.at(-1);
+			const result = await appendBatches(batches);
+			if (result === 'stopped' || last === undefined) {
 				return;
 			}
+			if (result === 'not-stored') {
+				queuedBatches = [...batches, ...queuedBatches];
+				await delay(RETRY_DELAY_MS, signal);
+				continue;
+			}
 			sequence++;
-			options.onStored(batch, offset);
+			options.onStored(last.batch, result);
 		}
 	};
 
@@ -166,11 +170,14 @@
 		get unansweredSince() {
 			return unansweredSince;
 		},
-		get confirmedAt() {
-			return confirmation.monotonicAt;
-		},
-		get confirmation() {
-			return confirmation;
+		withdraw: job => {
+			const isAcceptance = (event: JournalEvent): boolean => event.type === 'accepted' && event.job.id === job;
+			const isQueued = queuedBatches.some(({ events }) => events.some(isAcceptance));
+			queuedBatches = queuedBatches.map(({ batch, events }) => ({
+				batch,
+				events: events.filter(event => !isAcceptance(event)),
+			}));
+			return isQueued;
 		},
 	};
 }
--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -1,11 +1,14 @@
 import type { JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
+import { delay } from '@chestnutwheel/base/node/delay.js';
+import { termReactions } from '../../common/storeReactions.js';
 import { decodeEvents } from './journalCodec.js';
 import { JOURNAL_WRITER } from './journalWriter.js';
 
-/** Maximum number of failed calls before a new leader gives up its term. */
-const MAXIMUM_FAILURES = 20;
+/** Delay before a call that the store did not serve is repeated; it doubles up to the maximum. */
+const FIRST_RETRY_DELAY_MS = 20;
+const MAXIMUM_RETRY_DELAY_MS = 160;
 
 /** Reads at the end of the journal return at once. */
 const NO_WAIT_MS = 0;
@@ -18,22 +21,27 @@
 	readonly unreadable: number;
 }
 
+/** Reports whether the log serves the takeover: `true` when a call failed, `false` when one succeeded. */
+export type BlockedListener = (isBlocked: boolean) => void;
+
 /**
- * Fences off the journal writers of earlier terms, then replays the journal to its end.
- * @throws `log-unavailable` when the log does not answer, `not-ready` when a successor has fenced off this term
+ * Fences off the journal writers of earlier terms, then replays the journal to its end. Calls that the log does not serve
+ * are repeated until the signal is aborted.
+ * @throws `log-unavailable` when the signal is aborted first, `not-ready` when a successor has fenced off this term
  */
 export async function takeOverJournal(
 	log: LogService,
 	term: number,
 	onEvent: (event: JournalEvent, offset: number) => void,
+	onBlocked: BlockedListener,
 	signal: AbortSignal,
 ): Promise<JournalReadResult> {
-	const end = await fencePredecessors(log, term, signal);
+	const end = await fencePredecessors(log, term, onBlocked, signal);
 	let from = 0;
 	let records = 0;
 	let bytes = 0;
 	let unreadable = 0;
-	let failures = 0;
+	let retryDelayMs = FIRST_RETRY_DELAY_MS;
 	while (from < end) {
 		const outcome = await log.read('journal', from, NO_WAIT_MS, signal);
 		if (outcome.type === 'expired') {
@@ -41,12 +49,16 @@
 			continue;
 		}
 		if (outcome.type === 'failed') {
-			failures++;
-			if (failures > MAXIMUM_FAILURES || signal.aborted) {
-				throw kindError('log-unavailable', `reading the journal failed repeatedly: ${outcome.reason}`);
+			onBlocked(true);
+			await delay(retryDelayMs, signal);
+			retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * retryDelayMs);
+			if (signal.aborted) {
+				throw kindError('log-unavailable', `the journal was not read before the term ended: ${outcome.reason}`);
 			}
 			continue;
 		}
+		onBlocked(false);
+		retryDelayMs = FIRST_RETRY_DELAY_MS;
 		if (outcome.records.length === 0) {
 			break;
 		}
@@ -67,17 +79,25 @@
 }
 
 /** Raises the writer epoch of the journal to the term. @returns the end offset of the journal */
-async function fencePredecessors(log: LogService, term: number, signal: AbortSignal): Promise<number> {
-	let reason = '';
-	for (let failures = 0; failures <= MAXIMUM_FAILURES && !signal.aborted; failures++) {
+async function fencePredecessors(
+	log: LogService,
+	term: number,
+	onBlocked: BlockedListener,
+	signal: AbortSignal,
+): Promise<number> {
+	let reason = 'the term ended before';
+	for (let retryDelayMs = FIRST_RETRY_DELAY_MS; !signal.aborted; retryDelayMs *= 2) {
 		const outcome = await log.append('journal', [], { writer: { name: JOURNAL_WRITER, epoch: term } }, signal);
 		if (outcome.type === 'appended') {
+			onBlocked(false);
 			return outcome.end;
 		}
-		if (outcome.type === 'fenced') {
-			throw kindError('not-ready', `the journal is fenced by term ${outcome.epoch}, which is newer than term ${term}`);
+		if (termReactions['fence-journal'][outcome.type] === 'lost') {
+			throw kindError('not-ready', `a term newer than ${term} has fenced off the journal: ${outcome.type}`);
 		}
 		reason = outcome.type;
+		onBlocked(true);
+		await delay(Math.min(MAXIMUM_RETRY_DELAY_MS, retryDelayMs), signal);
 	}
 	throw kindError('log-unavailable', `the journal did not accept term ${term}: ${reason}`);
 }
--- a/packages/coordinator/src/node/leader/hostOrderTask.ts
+++ b/packages/coordinator/src/node/leader/hostOrderTask.ts
@@ -4,7 +4,7 @@
 import type { Engine } from '@chestnutwheel/engine/common/engine.js';
 import type { HostAction } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { HostOrderOutcome, HostService, WaveStatusPublisher } from '@chestnutwheel/ports/common/hostService.js';
-import { confirmationAge, type TermConfirmation } from '../journal/journalWriter.js';
+import type { TermProof } from '../../common/termProof.js';
 
 /**
  * Maximum age of the confirmation of the term by the store at which an order is sent to a host. A successor waits longer
@@ -25,7 +25,7 @@
 	readonly flush: () => void;
 	readonly term: number;
 	readonly holder: string;
-	readonly confirmation: () => TermConfirmation;
+	readonly proof: TermProof;
 }
 
 /** Sends orders to hosts and wave reports to the operator. */
@@ -36,7 +36,7 @@
 
 /** Creates the host order task of one term. It stops when the signal is aborted. */
 export function createHostOrderTask(options: HostOrderTaskOptions, signal: AbortSignal): HostOrderTask {
-	const { engine, hosts, waveReports, clock, counters, flush, term, holder, confirmation } = options;
+	const { engine, hosts, waveReports, clock, counters, flush, term, holder, proof } = options;
 	const issuer = { holder, fencingToken: term };
 
 	const order = (host: string, action: HostAction): Promise<HostOrderOutcome> =>
@@ -46,7 +46,7 @@
 
 	return {
 		send: async (host, action) => {
-			const isFresh = confirmationAge(confirmation(), clock) < MAXIMUM_CONFIRMATION_AGE_MS;
+			const isFresh = proof.ageMs() < MAXIMUM_CONFIRMATION_AGE_MS;
 			const answer = isFresh ? await order(host, action) : ({ type: 'not-sent' } as const);
 			if (!signal.aborted) {
 				counters.add('host_orders_total', { action: action.type, outcome: answer.type });
--- /dev/null
+++ b/packages/coordinator/src/node/leader/leadTerm.ts
@@ -0,0 +1,70 @@
+import { setMaxListeners } from 'node:events';
+import type { TermOutcome } from '../../common/candidacyPause.js';
+import type { LeaderIdentity } from '../../common/peerProtocol.js';
+import { createTermProof, type TermProof } from '../../common/termProof.js';
+import type { BlockedListener } from '../journal/readJournal.js';
+import type { Predecessor } from '../leadership/leaderElection.js';
+import { maintainTerm, type MaintainedTerm, type MaintainTermOptions } from './maintainTerm.js';
+
+/** Options of {@link createTermLeader}. */
+export interface TermLeaderOptions<Term extends MaintainedTerm> extends Omit<
+	MaintainTermOptions,
+	'identity' | 'predecessor' | 'proof' | 'begun' | 'blockedSince'
+> {
+	/** Takes over the journal and starts the engine. Repeats calls that the store does not serve. */
+	readonly begin: (
+		identity: LeaderIdentity,
+		proof: TermProof,
+		onBlocked: BlockedListener,
+		signal: AbortSignal,
+	) => Promise<Term>;
+}
+
+/** Leads the terms that this daemon obtains, one at a time. */
+export interface TermLeader<Term extends MaintainedTerm> {
+	/** Leads until the signal is aborted or the term ends. The leader topic ends at the term when it is called. */
+	lead(identity: LeaderIdentity, predecessor: Predecessor, signal: AbortSignal): Promise<TermOutcome>;
+	/** Returns the current term once its engine runs. */
+	term(): Term | undefined;
+	/** Returns the time since which the store does not serve the takeover of the journal, if it does not. */
+	blockedSince(): number | undefined;
+}
+
+/** Creates the term leader of a daemon. */
+export function createTermLeader<Term extends MaintainedTerm>(options: TermLeaderOptions<Term>): TermLeader<Term> {
+	const { clock, logDecision } = options;
+	let term: Term | undefined;
+	let blockedSince: number | undefined;
+
+	return {
+		term: () => term,
+		blockedSince: () => blockedSince,
+		lead: async (identity, predecessor, signal) => {
+			const controller = new AbortController();
+			const termSignal = AbortSignal.any([signal, controller.signal]);
+			setMaxListeners(0, termSignal);
+			const proof = createTermProof(clock);
+			const onBlocked: BlockedListener = isBlocked => {
+				if (isBlocked && blockedSince === undefined) {
+					logDecision('term-blocked', { term: identity.term });
+				}
+				blockedSince = isBlocked ? (blockedSince ?? clock.now()) : undefined;
+			};
+			const begin = async (): Promise<Term> => {
+				const begun = await options.begin(identity, proof, onBlocked, termSignal);
+				term = begun;
+				return begun;
+			};
+			try {
+				return await maintainTerm(
+					{ ...options, identity, predecessor, proof, begun: begin(), blockedSince: () => blockedSince },
+					termSignal,
+				);
+			} finally {
+				controller.abort();
+				term = undefined;
+				blockedSince = undefined;
+			}
+		},
+	};
+}
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -11,8 +11,11 @@
 import type { WorkerService } from '@chestnutwheel/ports/common/workerService.js';
 import type { CoordinatorSettings } from '../../common/coordinatorSettings.js';
 import type { LeaderIdentity } from '../../common/peerProtocol.js';
-import { createJournalWriter, confirmationAge, type JournalWriter } from '../journal/journalWriter.js';
-import { takeOverJournal } from '../journal/readJournal.js';
+import { parseTaskName } from '@chestnutwheel/engine/common/jobs/taskName.js';
+import { JOURNAL_STALL_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
+import type { TermProof } from '../../common/termProof.js';
+import { createJournalWriter, type JournalWriter } from '../journal/journalWriter.js';
+import { takeOverJournal, type BlockedListener } from '../journal/readJournal.js';
 import type { PlanCache } from '../plan/planCache.js';
 import { createHostOrderTask } from './hostOrderTask.js';
 import { createWorkerOrders } from './workerOrders.js';
@@ -35,6 +38,11 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly logDecision: DecisionLogger;
+	readonly proof: TermProof;
+	/** Called with `true` when the log does not serve the takeover of the journal, with `false` when it does. */
+	readonly onBlocked: BlockedListener;
+	/** Called once, when the first start order of the term is sent. */
+	readonly onFirstStart: () => void;
 }
 
 /** Term in which this daemon leads. */
@@ -43,12 +51,16 @@
 	readonly engine: Engine;
 	/** Resolves when a batch is stored. Rejects when the term ends before. */
 	whenStored(batch: number): Promise<void>;
+	/**
+	 * Resolves with `stored` when the acceptance of a job is stored, and with `withdrawn` when the journal stalled before any
+	 * record of the job can have been stored; the job then never runs. Rejects when the term ends before.
+	 * @param batch batch that contains the acceptance
+	 */
+	whenJobStored(job: string, batch: number): Promise<'stored' | 'withdrawn'>;
 	/** Writes the events and executes the effects that a call of the engine has produced. */
 	flush(): void;
 	/** Resolves with the reason when the term is lost. */
 	readonly lost: Promise<string>;
-	/** Returns the time at which the store last confirmed the term, on the monotonic clock. */
-	confirmedAt(): number;
 	readonly journal: JournalWriter;
 	/** Stops orders and polls at once. The journal continues to be written. */
 	quiesce(): void;
@@ -56,7 +68,9 @@
 
 interface StorageWaiter {
 	readonly batch: number;
-	readonly resolve: () => void;
+	/** Job whose acceptance the batch contains; `undefined` if the waiter waits for the batch as a whole. */
+	readonly job: string | undefined;
+	readonly resolve: (outcome: 'stored' | 'withdrawn') => void;
 	readonly reject: (error: Error) => void;
 }
 
@@ -69,7 +83,7 @@
 	options: LeaderTermOptions,
 	signal: AbortSignal,
 ): Promise<LeaderTerm> {
-	const { settings, log, clock, counters, logDecision, planCache } = options;
+	const { settings, log, clock, counters, logDecision, planCache, proof } = options;
 	const engine = createEngine({
 		settings: settings.engine,
 		counters,
@@ -81,6 +95,7 @@
 		log,
 		identity.term,
 		(event, offset) => engine.replay(event, offset, clock.now()),
+		options.onBlocked,
 		signal,
 	);
 	logDecision('journal-read', { term: identity.term, ...journalRead, tookMs: Math.round(clock.now() - beganAt) });
@@ -89,8 +104,9 @@
 	const lost = new Promise<string>(resolve => {
 		loseTerm = resolve;
 	});
-	const waiters: StorageWaiter[] = [];
-	const pendingEffects: { readonly batch: number; readonly effects: readonly EngineEffect[] }[] = [];
+	let waiters: StorageWaiter[] = [];
+	let pendingEffects: { readonly batch: number; readonly effects: readonly EngineEffect[] }[] = [];
+	let hasSentStart = false;
 	let storedBatch = 0;
 	let lastAddedBatch = 0;
 	let timer: NodeJS.Timeout | undefined;
@@ -100,15 +116,16 @@
 		{
 			log,
 			term: identity.term,
+			proof,
 			clock,
 			counters,
 			appendEveryMs: settings.appendEveryMs,
 			onStored: (batch, offset) => {
 				storedBatch = batch;
 				engine.batchStored(batch, offset, clock.now());
-				while (waiters[0] !== undefined && waiters[0].batch <= batch) {
-					waiters.shift()?.resolve();
-				}
+				const served = waiters.filter(waiter => waiter.batch <= batch);
+				waiters = waiters.filter(waiter => waiter.batch > batch);
+				served.forEach(({ resolve }) => resolve('stored'));
 				while (pendingEffects[0] !== undefined && pendingEffects[0].batch <= batch) {
 					pendingEffects.shift()?.effects.forEach(execute);
 				}
@@ -118,10 +135,45 @@
 		},
 		signal,
 	);
-	const whenStored = (batch: number): Promise<void> =>
+	const waitForBatch = (batch: number, job: string | undefined): Promise<'stored' | 'withdrawn'> =>
 		batch <= storedBatch
-			? Promise.resolve()
-			: new Promise((resolve, reject) => waiters.push({ batch, resolve, reject }));
+			? Promise.resolve('stored')
+			: new Promise((resolve, reject) => waiters.push({ batch, job, resolve, reject }));
+	const whenStored = async (batch: number): Promise<void> => {
+		await waitForBatch(batch, undefined);
+	};
+
+	/** Refuses the submissions of which no record can have been stored, so that their callers need not wait. */
+	const withdrawUnstoredJobs = (now: number): void => {
+		const withdrawn = new Set<string>();
+		for (const { job } of waiters) {
+			if (job !== undefined && !withdrawn.has(job) && journal.withdraw(job)) {
+				engine.withdraw(job, now);
+				withdrawn.add(job);
+			}
+		}
+		if (withdrawn.size === 0) {
+			return;
+		}
+		pendingEffects = pendingEffects.map(({ batch, effects }) => ({
+			batch,
+			effects: effects.filter(
+				effect => effect.type !== 'start' || !withdrawn.has(parseTaskName(effect.task)?.job ?? ''),
+			),
+		}));
+		const refused = waiters.filter(({ job }) => job !== undefined && withdrawn.has(job));
+		waiters = waiters.filter(waiter => !refused.includes(waiter));
+		refused.forEach(({ resolve }) => resolve('withdrawn'));
+	};
+
+	const checkJournal = (now: number): void => {
+		const since = journal.unansweredSince;
+		const isStalled = since !== undefined && now > since + JOURNAL_STALL_MS;
+		engine.journalStalled(isStalled ? since : undefined);
+		if (isStalled) {
+			withdrawUnstoredJobs(now);
+		}
+	};
 	const quiescence = new AbortController();
 	const active = AbortSignal.any([signal, quiescence.signal]);
 	setMaxListeners(0, active);
@@ -129,7 +181,7 @@
 		...options,
 		engine,
 		flush: () => flush(),
-		isTermConfirmed: () => confirmationAge(journal.confirmation, clock) < settings.engine.validMs,
+		isTermConfirmed: () => proof.ageMs() < settings.engine.validMs,
 	};
 	const poller = createWorkerPoller({ ...sharedOptions, whenAllStored: () => whenStored(lastAddedBatch) }, active);
 	const orders = createWorkerOrders(sharedOptions, active);
@@ -138,7 +190,7 @@
 			...sharedOptions,
 			term: identity.term,
 			holder: identity.entryHost,
-			confirmation: () => journal.confirmation,
+			proof,
 		},
 		active,
 	);
@@ -156,7 +208,13 @@
 				options.workers.closeConnections(address);
 			}
 		},
-		start: effect => orders.start(effect),
+		start: effect => {
+			if (!hasSentStart) {
+				hasSentStart = true;
+				options.onFirstStart();
+			}
+			orders.start(effect);
+		},
 		stop: effect => orders.stop(effect),
 		pace: effect => orders.pace(effect),
 		advise: ({ step, workers }) => {
@@ -190,6 +248,7 @@
 	const tick = (): void => {
 		timer = undefined;
 		lastTickAt = clock.now();
+		checkJournal(lastTickAt);
 		engine.tick(lastTickAt);
 		flush();
 	};
@@ -250,9 +309,9 @@
 		identity,
 		engine,
 		whenStored,
+		whenJobStored: (job, batch) => waitForBatch(batch, job),
 		flush,
 		lost,
-		confirmedAt: () => journal.confirmedAt,
 		journal,
 		quiesce: () => quiescence.abort(),
 	};
--- a/packages/coordinator/src/node/leader/maintainTerm.ts
+++ b/packages/coordinator/src/node/leader/maintainTerm.ts
@@ -1,21 +1,24 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
+import { errorMessageOf } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
+import type { Engine } from '@chestnutwheel/engine/common/engine.js';
 import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
-import type { CoordinatorSettings } from '../../common/coordinatorSettings.js';
+import type { TermOutcome } from '../../common/candidacyPause.js';
+import type { LeaderElectionSettings } from '../../common/coordinatorSettings.js';
+import type { LeaderIdentity } from '../../common/peerProtocol.js';
+import { isRejectedByStore, STORE_SUSPICION_MS } from '../../common/storeHealth.js';
+import { termReactions } from '../../common/storeReactions.js';
+import type { TermProof } from '../../common/termProof.js';
 import { formatLeaderRecord, LEADER_KEY, parseLeaderRecord } from '../leadership/leaderRecord.js';
-import type { Predecessor, TermOutcome } from '../leadership/leaderElection.js';
+import type { Predecessor } from '../leadership/leaderElection.js';
 import type { MemberList } from '../leadership/memberList.js';
-import type { PeerConnection } from '../peers/peerConnection.js';
 import type { PeerNetwork } from '../peers/peerNetwork.js';
 import type { PlanCache } from '../plan/planCache.js';
-import { isRejectedByStore, STORE_SUSPICION_MS } from '../../common/storeHealth.js';
+import { createFollowers } from './followers.js';
 import type { LeaderTerm } from './leaderTerm.js';
 
-/** Timeout of a call to a follower. */
-const PEER_CALL_TIMEOUT_MS = 1_000;
-
 /** Timeout of a renewal of the leader record; a slow store needs 0.3 s and more. */
 const RENEWAL_TIMEOUT_MS = 1_000;
 
@@ -28,11 +31,22 @@
 /** Timeout of the append of the resignation record. */
 const RESIGN_RECORD_TIMEOUT_MS = 300;
 
+/** The parts of a begun term that its maintenance uses. */
+export type MaintainedTerm = Pick<LeaderTerm, 'flush' | 'lost' | 'quiesce'> & {
+	readonly engine: Pick<Engine, 'predecessorStopped'>;
+	readonly journal: Pick<LeaderTerm['journal'], 'isBusy' | 'unansweredSince'>;
+};
+
 /** Options of {@link maintainTerm}. */
 export interface MaintainTermOptions {
-	readonly term: LeaderTerm;
+	readonly identity: LeaderIdentity;
+	/** Resolves when the journal is taken over and the engine runs. Rejects if that fails. */
+	readonly begun: Promise<MaintainedTerm>;
+	/** Returns the time since which the store does not serve the takeover of the journal, if it does not. */
+	readonly blockedSince: () => number | undefined;
+	readonly proof: TermProof;
 	readonly predecessor: Predecessor;
-	readonly settings: CoordinatorSettings;
+	readonly settings: LeaderElectionSettings;
 	readonly self: { readonly entryHost: string; readonly address: string; readonly incarnation: string };
 	readonly log: LogService;
 	readonly network: PeerNetwork;
@@ -41,51 +55,56 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly logDecision: DecisionLogger;
-	/** Signal that is aborted when the daemon is about to stop, so that the leader resigns. */
+	/** Aborted when the daemon is about to stop, so that the leader resigns. */
 	readonly resignation: AbortSignal;
+	/** Returns the time by which a leader that is about to stop resigns even if no successor could take over. */
+	readonly resignBy: () => number;
 }
 
 /**
- * Maintains a term: sends heartbeats to the followers and renews the leader record in the store, until the term is lost or
- * handed over.
+ * Maintains a term from the moment at which it was obtained: sends heartbeats to the followers and renews the leader record
+ * in the store, until the term is lost or handed over. A term whose journal cannot be taken over at present is kept.
  */
 export async function maintainTerm(options: MaintainTermOptions, signal: AbortSignal): Promise<TermOutcome> {
-	const { term, settings, self, log, network, members, planCache, clock, counters, logDecision, resignation } = options;
-	const { leadership } = settings;
+	const { identity, begun, blockedSince, proof, settings, self, log, network, clock, logDecision, resignation } =
+		options;
+	const followers = createFollowers({ ...options, connectTimeoutMs: settings.askPeersMs });
+	let term: MaintainedTerm | undefined;
 	/** End offset of the leader topic. Initially it follows the record that began the term. */
-	let leaderTopicEnd: number = term.identity.term;
+	let leaderTopicEnd: number = identity.term;
 	let renewalSentAt = clock.now();
-	let confirmedAt = clock.now();
 	let storeFailingSince: number | undefined;
 	const finished = new AbortController();
 	const running = AbortSignal.any([signal, finished.signal]);
 
 	const record = (isResigning: boolean): Uint8Array =>
-		log.keyedRecord(LEADER_KEY, formatLeaderRecord({ ...self, term: term.identity.term, isResigning }));
+		log.keyedRecord(LEADER_KEY, formatLeaderRecord({ ...self, term: identity.term, isResigning }));
 
-	const recordStoreAnswer = (sentAt: number): void => {
-		confirmedAt = Math.max(confirmedAt, sentAt);
-		storeFailingSince = undefined;
-	};
+	const failingSince = (): number | undefined => storeFailingSince ?? blockedSince() ?? term?.journal.unansweredSince;
 
 	/** Reads the end of the topic after an append with an unknown outcome. @returns whether the term is still valid */
 	const verifyTerm = async (): Promise<boolean> => {
-		const sentAt = clock.now();
+		const sentAt = proof.sendTime();
 		const outcome = await log.newest('leader', running);
 		if (outcome.type !== 'newest') {
-			storeFailingSince ??= sentAt;
+			storeFailingSince ??= sentAt.monotonicAt;
 			return true;
 		}
-		recordStoreAnswer(sentAt);
+		storeFailingSince = undefined;
 		leaderTopicEnd = outcome.end;
 		const newest = outcome.records.find(({ key }) => key === LEADER_KEY);
 		const stored = newest?.value === undefined ? undefined : parseLeaderRecord(newest.value);
-		return stored?.incarnation === self.incarnation && stored.entryHost === self.entryHost;
+		const isValid = stored?.incarnation === self.incarnation && stored.entryHost === self.entryHost;
+		if (isValid) {
+			proof.confirm(sentAt);
+		}
+		return isValid;
 	};
 
 	/** Renews the leader record. @returns whether the term is still valid */
 	const renewRecord = async (): Promise<boolean> => {
-		renewalSentAt = clock.now();
+		const sentAt = proof.sendTime();
+		renewalSentAt = sentAt.monotonicAt;
 		const outcome = await log.append(
 			'leader',
 			[record(false)],
@@ -94,77 +113,31 @@
 		);
 		if (outcome.type === 'appended') {
 			leaderTopicEnd = outcome.end;
-			recordStoreAnswer(renewalSentAt);
+			storeFailingSince = undefined;
+			proof.confirm(sentAt);
 			return true;
 		}
-		if (outcome.type === 'refused') {
+		if (termReactions['renew-term'][outcome.type] === 'repeat') {
 			storeFailingSince ??= renewalSentAt;
 			return true;
 		}
 		return verifyTerm();
 	};
 
-	const sendHeartbeat = (connection: PeerConnection, isResigning: boolean, topicEnd?: number): void => {
-		const parameters = { leader: term.identity, planVersion: planCache.current()?.version ?? 0, isResigning, topicEnd };
-		connection
-			.call('leader.alive', parameters, PEER_CALL_TIMEOUT_MS)
-			.then(
-				async ({ planVersion }) => {
-					const current = planCache.current();
-					if (current !== undefined && planVersion < current.version) {
-						// The store may be rejecting the follower, which then cannot read the plan itself.
-						await connection.call('plan.offer', { plan: current }, PEER_CALL_TIMEOUT_MS);
-					} else if (planVersion > (current?.version ?? 0)) {
-						const { plan: newer } = await connection.call('plan.get', {}, PEER_CALL_TIMEOUT_MS);
-						if (newer !== undefined) {
-							planCache.offer(newer);
-						}
-					}
-				},
-				() => counters.add('followers_silent_total'),
-			)
-			.catch(() => counters.add('plans_not_fetched_total'));
-	};
-
-	/** Announces the term to the daemons that are not connected yet. They connect when they learn of it. */
-	const announce = async (isResigning: boolean): Promise<void> => {
-		await members.refresh(running);
-		for (const address of members.otherAddresses()) {
-			network.dial(address, leadership.askPeersMs).then(
-				connection => sendHeartbeat(connection, isResigning),
-				() => counters.add('members_unreachable_total'),
-			);
-		}
-	};
-
-	/** Asks the followers whether the store serves at least one of them. */
-	const isStoreServingFollowers = async (): Promise<boolean> => {
-		const answers = await Promise.all(
-			network.incoming().map(async connection => {
-				try {
-					return (await connection.call('store.reachable', {}, PEER_CALL_TIMEOUT_MS)).reachable;
-				} catch {
-					return false;
-				}
-			}),
-		);
-		return answers.includes(true);
-	};
-
 	/** Polls the predecessor until it answers that it does not lead. A restarted daemon does not lead either. */
-	const pollPredecessor = async (): Promise<void> => {
+	const pollPredecessor = async (engine: MaintainedTerm): Promise<void> => {
 		const { predecessor } = options;
 		if (predecessor.type !== 'unknown') {
-			term.engine.predecessorStopped(clock.now());
+			engine.engine.predecessorStopped(clock.now());
 			return;
 		}
 		while (!running.aborted) {
 			try {
-				const connection = await network.dial(predecessor.address, leadership.askPeersMs);
-				const hello = await connection.call('peer.hello', { entryHost: self.entryHost }, leadership.askPeersMs);
+				const connection = await network.dial(predecessor.address, settings.askPeersMs);
+				const hello = await connection.call('peer.hello', { entryHost: self.entryHost }, settings.askPeersMs);
 				if (hello.leader === undefined) {
-					term.engine.predecessorStopped(clock.now());
-					term.flush();
+					engine.engine.predecessorStopped(clock.now());
+					engine.flush();
 					return;
 				}
 			} catch {
@@ -174,27 +147,43 @@
 		}
 	};
 
-	const resign = async (): Promise<void> => {
-		logDecision('term-resigned', { term: term.identity.term });
-		term.quiesce();
+	/** Waits until the store serves this leader, and therefore presumably a successor, or until the deadline. */
+	const waitForStore = async (): Promise<void> => {
+		const since = failingSince();
+		if (since === undefined) {
+			return;
+		}
+		logDecision('resignation-postponed', { term: identity.term, failingForMs: Math.round(clock.now() - since) });
+		while (failingSince() !== undefined && clock.now() < options.resignBy() && !running.aborted) {
+			await delay(settings.aliveEveryMs / 4, running);
+		}
+	};
+
+	const resign = async (): Promise<TermOutcome> => {
+		if (term !== undefined) {
+			await waitForStore();
+		}
+		const successor = followers.chooseSuccessor();
+		logDecision('term-resigned', { term: identity.term, successor });
+		term?.quiesce();
 		const until = clock.now() + RESIGN_FLUSH_TIMEOUT_MS;
-		while (term.journal.isBusy && clock.now() < until && !signal.aborted) {
-			await delay(leadership.aliveEveryMs / 4, signal);
+		while (term?.journal.isBusy === true && clock.now() < until && !running.aborted) {
+			await delay(settings.aliveEveryMs / 16, running);
 		}
-		const followers = network.incoming();
-		if (followers.length > 0) {
+		if (followers.count > 0) {
 			// A resignation record would move the end of the topic, at which a follower appends to obtain the next term.
-			followers.forEach(connection => sendHeartbeat(connection, true, leaderTopicEnd));
-			return;
+			followers.sendHeartbeats({ topicEnd: leaderTopicEnd, successor });
+		} else {
+			const recordSignal = AbortSignal.any([signal, AbortSignal.timeout(RESIGN_RECORD_TIMEOUT_MS)]);
+			await log.append('leader', [record(true)], { at: leaderTopicEnd }, recordSignal);
 		}
-		const recordSignal = AbortSignal.any([signal, AbortSignal.timeout(RESIGN_RECORD_TIMEOUT_MS)]);
-		await log.append('leader', [record(true)], { at: leaderTopicEnd }, recordSignal);
+		return 'resigned';
 	};
 
 	const runHeartbeats = async (): Promise<void> => {
 		while (!running.aborted) {
-			network.incoming().forEach(connection => sendHeartbeat(connection, false));
-			await delay(leadership.aliveEveryMs, running);
+			followers.sendHeartbeats();
+			await delay(settings.aliveEveryMs, running);
 		}
 	};
 
@@ -203,53 +192,60 @@
 			if (!(await renewRecord())) {
 				return 'deposed';
 			}
-			const lastConfirmedAt = Math.max(confirmedAt, term.confirmedAt());
-			if (clock.now() > lastConfirmedAt + leadership.validMs) {
-				logDecision('term-unproven', { term: term.identity.term, forMs: Math.round(clock.now() - lastConfirmedAt) });
+			const { confirmedAt } = proof;
+			if (clock.now() > confirmedAt + settings.validMs) {
+				logDecision('term-unproven', { term: identity.term, forMs: Math.round(clock.now() - confirmedAt) });
 				return 'deposed';
 			}
-			const failingSince = storeFailingSince ?? term.journal.unansweredSince;
+			const since = failingSince();
 			if (
-				isRejectedByStore({ failingSince, confirmedAt: lastConfirmedAt, now: clock.now() }) &&
-				(await isStoreServingFollowers())
+				isRejectedByStore({ failingSince: since, confirmedAt, now: clock.now() }) &&
+				(await followers.isStoreServingOne())
 			) {
 				logDecision('store-turns-leader-away', {
-					term: term.identity.term,
-					forMs: Math.round(clock.now() - (failingSince ?? 0)),
+					term: identity.term,
+					forMs: Math.round(clock.now() - (since ?? 0)),
 				});
-				network.incoming().forEach(connection => sendHeartbeat(connection, true));
+				followers.sendHeartbeats({});
 				return 'stand-aside';
 			}
-			const intervalMs = failingSince === undefined ? leadership.beatEveryMs : STORE_SUSPICION_MS / 2;
+			const intervalMs = since === undefined ? settings.beatEveryMs : STORE_SUSPICION_MS / 2;
 			await delay(Math.max(0, renewalSentAt + intervalMs - clock.now()), running);
 		}
 		return 'deposed';
 	};
 
-	void announce(false);
-	void pollPredecessor();
-	void runHeartbeats();
-	const resigned = new Promise<TermOutcome>(resolve => {
-		const onResign = (): void => {
-			resign().then(
-				() => resolve('resigned'),
-				() => resolve('resigned'),
-			);
-		};
-		if (resignation.aborted) {
-			onResign();
+	const awaitLoss = async (): Promise<TermOutcome> => {
+		try {
+			term = await begun;
+		} catch (error) {
+			logDecision('term-not-begun', { term: identity.term, reason: errorMessageOf(error) });
+			return 'not-begun';
 		}
-		resignation.addEventListener('abort', onResign, { once: true });
-	});
+		void pollPredecessor(term);
+		logDecision('term-lost', { term: identity.term, reason: await term.lost });
+		return 'deposed';
+	};
+
+	const awaitResignation = async (): Promise<TermOutcome> => {
+		await new Promise<void>(resolve => {
+			if (resignation.aborted) {
+				resolve();
+			}
+			resignation.addEventListener('abort', () => resolve(), { once: true });
+		});
+		try {
+			return await resign();
+		} catch (error) {
+			logDecision('resignation-failed', { term: identity.term, reason: errorMessageOf(error) });
+			return 'resigned';
+		}
+	};
+
+	void followers.announce(running);
+	void runHeartbeats();
 	try {
-		return await Promise.race([
-			term.lost.then((reason): TermOutcome => {
-				logDecision('term-lost', { term: term.identity.term, reason });
-				return 'deposed';
-			}),
-			runRecordRenewal(),
-			resigned,
-		]);
+		return await Promise.race([awaitLoss(), runRecordRenewal(), awaitResignation()]);
 	} finally {
 		finished.abort();
 	}
--- a/packages/coordinator/src/node/leadership/leaderElection.ts
+++ b/packages/coordinator/src/node/leadership/leaderElection.ts
@@ -4,8 +4,10 @@
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
+import { candidacyPause, type TermOutcome } from '../../common/candidacyPause.js';
 import { decideCandidacy, isTermVacant, type CandidacyFacts } from '../../common/candidacy.js';
 import type { LeaderElectionSettings } from '../../common/coordinatorSettings.js';
+import { termReactions } from '../../common/storeReactions.js';
 import type { LeaderIdentity, PeerMethods } from '../../common/peerProtocol.js';
 import type { PeerConnection } from '../peers/peerConnection.js';
 import type { PeerNetwork } from '../peers/peerNetwork.js';
@@ -18,11 +20,8 @@
 /** Random jitter of the candidacy delay, so that several candidates do not append at the same time. */
 const CANDIDACY_JITTER_MS = 60;
 
-/** Time without candidacy of a daemon that gave up its term because the store rejects it. */
-const CANDIDACY_SUSPENSION_MS = 3_000;
-
-/** Outcome of a term. `stand-aside`: the store rejects this daemon, so that another one should lead. */
-export type TermOutcome = 'deposed' | 'resigned' | 'stand-aside';
+/** Time for which the other daemons leave a term to the successor that the resigning leader has chosen. */
+const SUCCESSOR_HEAD_START_MS = 300;
 
 /** Time since last contact that is reported for a leader without any contact, since JSON has no infinity. */
 const MAXIMUM_SILENCE_MS = 1_000_000_000;
@@ -58,6 +57,8 @@
 	/** Returns the time since the last contact to the leader, in milliseconds; 0 on the leader itself. */
 	leaderSilenceMs(): number;
 	readonly isLeading: boolean;
+	/** Time of the last contact to the leader of the term before that of this daemon, if there was any. */
+	readonly previousLeaderSeenAt: number | undefined;
 	/** Resolves when the last candidacy of this daemon is decided, whose record may still be being written to the store. */
 	whenCandidacyDecided(): Promise<void>;
 	/** Records a heartbeat of the leader, or its resignation. */
@@ -71,6 +72,8 @@
 interface StoredLeader {
 	readonly type: CandidacyFacts['record'];
 	readonly identity: LeaderIdentity | undefined;
+	/** Whether this process itself has obtained the term, and the topic has not grown since. */
+	readonly isOwnNewest: boolean;
 	readonly end: number;
 }
 
@@ -80,19 +83,28 @@
 	let leader: LeaderIdentity | undefined;
 	let connection: PeerConnection | undefined;
 	let lastContactAt = -Infinity;
+	/** Time of the last heartbeat of any leader, or of the end of the last term of this daemon. */
+	let lastLeaderSignAt = -Infinity;
 	let isLeading = false;
 	let isCandidacyDisabled = false;
 	let suspendedUntil = 0;
+	/** Newest term in which this process led. */
+	let lastLedTerm = 0;
+	/** Number of consecutive terms of this daemon that ended before they began. */
+	let unbegunTerms = 0;
+	let previousLeaderSeenAt: number | undefined;
 	/** Last suspicion that was logged. A line is written only when it changes. */
 	let lastSuspicion = '';
 	/** Aborted when the leader resigns, so that the wait for its next heartbeat ends. */
 	let leaderResigned = new AbortController();
-	/** End offset of the topic at which the leader resigned; `undefined` after it was used. */
-	let handoverEnd: number | undefined;
-	/** Last candidacy of this daemon. */
+	/** Handover announced by a leader that resigned; `undefined` after it was used. */
+	let handover: { readonly topicEnd: number; readonly isSuccessor: boolean } | undefined;
+	/** Last candidacy of this daemon, and the leader that it would replace. */
+	let candidacyPredecessor: Predecessor = { type: 'none' };
 	let candidacyAttempt: Promise<LeaderIdentity | undefined> = Promise.resolve(undefined);
 	/** Last observed end offset of the leader topic, and the time of its first observation. */
 	let lastObserved = { end: -1, since: clock.now() };
+	const knownTerm = (): number => leader?.term ?? 0;
 	const isOtherDaemon = (identity: LeaderIdentity): boolean => identity.address !== self.address;
 
 	const leaderSilenceMs = (): number => {
@@ -115,7 +127,7 @@
 	const readStored = async (signal: AbortSignal): Promise<StoredLeader> => {
 		const outcome = await log.newest('leader', signal);
 		if (outcome.type !== 'newest') {
-			return { type: 'unreadable', identity: undefined, end: -1 };
+			return { type: 'unreadable', identity: undefined, isOwnNewest: false, end: -1 };
 		}
 		if (outcome.end !== lastObserved.end) {
 			lastObserved = { end: outcome.end, since: clock.now() };
@@ -123,11 +135,12 @@
 		const newest = outcome.records.find(({ key }) => key === LEADER_KEY);
 		const record = newest?.value === undefined ? undefined : parseLeaderRecord(newest.value);
 		if (newest === undefined || record === undefined) {
-			return { type: 'none', identity: undefined, end: outcome.end };
+			return { type: 'none', identity: undefined, isOwnNewest: false, end: outcome.end };
 		}
 		const identity = identityOf(record, newest.offset);
 		const type = record.isResigning ? 'resigned' : record.entryHost === self.entryHost ? 'own-former' : 'other';
-		return { type, identity, end: outcome.end };
+		const isOwnNewest = record.incarnation === self.incarnation && identity.term === outcome.end;
+		return { type, identity, isOwnNewest, end: outcome.end };
 	};
 
 	/** Connects to the leader. @returns `denied` when the process there answers that it does not lead this term */
@@ -178,7 +191,7 @@
 		if (outcome.type === 'appended') {
 			return identityOf(record, outcome.offset);
 		}
-		if (outcome.type === 'unknown') {
+		if (termReactions['obtain-term'][outcome.type] === 'verify') {
 			// The term is obtained only if the record is read back. A record that is stored later still names this daemon.
 			const stored = await readStored(signal);
 			return stored.type === 'own-former' && stored.end > end ? stored.identity : undefined;
@@ -186,7 +199,12 @@
 		return undefined;
 	};
 
-	const appendCandidacy = (end: number, signal: AbortSignal): Promise<LeaderIdentity | undefined> => {
+	const appendCandidacy = (
+		end: number,
+		predecessor: Predecessor,
+		signal: AbortSignal,
+	): Promise<LeaderIdentity | undefined> => {
+		candidacyPredecessor = predecessor;
 		const attempt = appendTerm(end, signal);
 		candidacyAttempt = attempt;
 		return attempt;
@@ -200,7 +218,9 @@
 	};
 
 	const lead = async (identity: LeaderIdentity, predecessor: Predecessor, signal: AbortSignal): Promise<void> => {
+		previousLeaderSeenAt = Number.isFinite(lastLeaderSignAt) ? lastLeaderSignAt : undefined;
 		isLeading = true;
+		lastLedTerm = identity.term;
 		leader = identity;
 		connection = undefined;
 		logDecision('term-begins', { term: identity.term });
@@ -208,16 +228,24 @@
 		const outcome = await options.lead(identity, predecessor, signal);
 		isLeading = false;
 		lastContactAt = -Infinity;
+		lastLeaderSignAt = clock.now();
 		logDecision('term-ends', { term: identity.term, outcome });
-		if (outcome === 'stand-aside') {
-			suspendedUntil = clock.now() + CANDIDACY_SUSPENSION_MS;
-		}
+		unbegunTerms = outcome === 'not-begun' ? unbegunTerms + 1 : 0;
+		suspendedUntil = clock.now() + candidacyPause(outcome, unbegunTerms);
 	};
 
 	/** Takes over from a leader that has resigned. @returns whether this daemon obtained the term and led */
-	const takeOverTerm = async (end: number, signal: AbortSignal): Promise<boolean> => {
-		await delay(settings.standAfterMs + random.nextInteger(CANDIDACY_JITTER_MS), signal);
-		const identity = signal.aborted || isCandidacyDisabled ? undefined : await appendCandidacy(end, signal);
+	const takeOverTerm = async (
+		{ topicEnd, isSuccessor }: NonNullable<typeof handover>,
+		signal: AbortSignal,
+	): Promise<boolean> => {
+		const resignedTerm = knownTerm();
+		const headStartMs = settings.standAfterMs + SUCCESSOR_HEAD_START_MS + random.nextInteger(CANDIDACY_JITTER_MS);
+		await delay(isSuccessor ? 0 : headStartMs, signal);
+		if (signal.aborted || isCandidacyDisabled || knownTerm() !== resignedTerm) {
+			return false;
+		}
+		const identity = await appendCandidacy(topicEnd, { type: 'stopped' }, signal);
 		if (identity === undefined) {
 			return false;
 		}
@@ -226,15 +254,21 @@
 	};
 
 	const runElectionRound = async (signal: AbortSignal): Promise<void> => {
-		const end = handoverEnd;
-		handoverEnd = undefined;
-		if (end !== undefined && clock.now() >= suspendedUntil && (await takeOverTerm(end, signal))) {
+		const announced = handover;
+		handover = undefined;
+		if (announced !== undefined && clock.now() >= suspendedUntil && (await takeOverTerm(announced, signal))) {
 			return;
 		}
 		const stored = await readStored(signal);
 		if (stored.identity !== undefined && isOtherDaemon(stored.identity)) {
 			adoptLeader(stored.identity);
 		}
+		const ownIdentity = stored.isOwnNewest ? stored.identity : undefined;
+		if (ownIdentity !== undefined && ownIdentity.term > lastLedTerm && !isCandidacyDisabled) {
+			// The response to the candidacy was lost, or the record was stored after the daemon had stopped waiting for it.
+			await lead(ownIdentity, candidacyPredecessor, signal);
+			return;
+		}
 		const connectOutcome =
 			leader !== undefined && isOtherDaemon(leader) ? await connectToLeader(leader) : 'unreachable';
 		if (connectOutcome === 'reached' && stored.type !== 'resigned') {
@@ -248,7 +282,7 @@
 		const peers = isVacant ? { answered: 0, knownLeader: undefined } : await queryPeers();
 		const isHeardByPeer =
 			peers.knownLeader !== undefined &&
-			peers.knownLeader.term >= (leader?.term ?? 0) &&
+			peers.knownLeader.term >= knownTerm() &&
 			isOtherDaemon(peers.knownLeader);
 		if (isHeardByPeer && peers.knownLeader !== undefined) {
 			adoptLeader(peers.knownLeader);
@@ -278,10 +312,13 @@
 		}
 		const standAfterMs = stored.type === 'none' ? settings.standFirstAfterMs : settings.standAfterMs;
 		await delay(standAfterMs + random.nextInteger(CANDIDACY_JITTER_MS), signal);
-		const identity = signal.aborted ? undefined : await appendCandidacy(stored.end, signal);
-		if (identity !== undefined) {
-			await lead(identity, predecessorOf(stored), signal);
+		const identity = signal.aborted ? undefined : await appendCandidacy(stored.end, predecessorOf(stored), signal);
+		if (identity === undefined) {
+			// The store refused the record or a rival was faster; the next round shows which.
+			await delay(ELECTION_RETRY_MS / 2, signal);
+			return;
 		}
+		await lead(identity, predecessorOf(stored), signal);
 	};
 
 	return {
@@ -294,13 +331,18 @@
 		whenCandidacyDecided: async () => {
 			await candidacyAttempt;
 		},
-		recordHeartbeat: ({ leader: identity, isResigning, topicEnd }, now) => {
+		get previousLeaderSeenAt() {
+			return previousLeaderSeenAt;
+		},
+		recordHeartbeat: ({ leader: identity, isResigning, topicEnd, successor }, now) => {
 			adoptLeader(identity);
 			if (leader?.term === identity.term) {
+				lastLeaderSignAt = now;
 				lastContactAt = isResigning ? -Infinity : now;
 				if (isResigning) {
 					connection = undefined;
-					handoverEnd = topicEnd;
+					const isSuccessor = successor === self.entryHost;
+					handover = topicEnd === undefined ? undefined : { topicEnd, isSuccessor };
 					leaderResigned.abort();
 					leaderResigned = new AbortController();
 				}
--- /dev/null
+++ b/packages/coordinator/src/test/journalWriter.test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it, vi } from 'vitest';
+import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import type { AcceptedJob, JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
+import type { AppendOutcome, LogService } from '@chestnutwheel/ports/common/logService.js';
+import { createTermProof } from '../common/termProof.js';
+import { decodeEvents } from '../node/journal/journalCodec.js';
+import { createJournalWriter } from '../node/journal/journalWriter.js';
+import { createVirtualTime, type VirtualTime } from './virtualTime.js';
+
+let time: VirtualTime;
+
+vi.mock('@chestnutwheel/base/node/delay.js', () => ({
+	delay: (milliseconds: number, signal: AbortSignal) => time.sleep(milliseconds, signal),
+}));
+
+const acceptance = (id: string): JournalEvent => ({ type: 'accepted', job: { id } as AcceptedJob });
+
+/** Creates a writer on a log that answers appends in turn, and then stores them. */
+function createWriter(answers: AppendOutcome[]) {
+	time = createVirtualTime();
+	const stored: JournalEvent[] = [];
+	const batches: number[] = [];
+	const log = {
+		append: async (_topic: string, records: readonly Uint8Array[]): Promise<AppendOutcome> => {
+			await time.sleep(4);
+			const outcome = answers.shift() ?? { type: 'appended', offset: stored.length, end: stored.length + 1 };
+			if (outcome.type === 'appended') {
+				stored.push(...records.flatMap(record => decodeEvents(record) ?? []));
+			}
+			return outcome;
+		},
+	} as unknown as LogService;
+	const writer = createJournalWriter(
+		{
+			log,
+			term: 3,
+			proof: createTermProof(time.clock),
+			clock: time.clock,
+			counters: createCounters(),
+			appendEveryMs: 12,
+			onStored: batch => batches.push(batch),
+			onFenced: () => undefined,
+		},
+		new AbortController().signal,
+	);
+	return { writer, stored, batches };
+}
+
+const refused: AppendOutcome = { type: 'refused', reason: 'busy' };
+const unknown: AppendOutcome = { type: 'unknown', reason: 'reset' };
+
+describe('a journal writer whose appends are not stored', () => {
+	it('withdraws a job whose append was refused, and a job that waits behind it', async () => {
+		const { writer, stored, batches } = createWriter([refused, refused]);
+		writer.add(1, [acceptance('a'), acceptance('b')]);
+		writer.add(2, [acceptance('c')]);
+		await time.advance(40);
+		expect(writer.withdraw('a')).toBe(true);
+		expect(writer.withdraw('c')).toBe(true);
+		await time.advance(1_000);
+		expect(stored).toEqual([acceptance('b')]);
+		expect(batches).toEqual([2]);
+		expect(writer.withdraw('b')).toBe(false);
+	});
+
+	it('never withdraws a job whose append has an unknown outcome, also after a later refusal', async () => {
+		const { writer, stored } = createWriter([unknown, refused, refused]);
+		writer.add(1, [acceptance('a')]);
+		await time.advance(10);
+		writer.add(2, [acceptance('b')]);
+		await time.advance(100);
+		expect(writer.withdraw('a')).toBe(false);
+		expect(writer.withdraw('b')).toBe(true);
+		await time.advance(1_000);
+		expect(stored).toEqual([acceptance('a')]);
+	});
+
+	it('does not withdraw a job whose append is being sent', async () => {
+		const { writer, stored } = createWriter([]);
+		writer.add(1, [acceptance('a')]);
+		expect(writer.withdraw('a')).toBe(false);
+		await time.advance(100);
+		expect(stored).toEqual([acceptance('a')]);
+	});
+});
--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -54,6 +54,11 @@
 	 * @param offset offset of the first record of the batch
 	 */
 	batchStored(batch: number, offset: number, now: number): void;
+	/**
+	 * Records whether the journal stalls. New jobs are refused while it does.
+	 * @param since send time of the first append that is not stored; `undefined` while the journal stores batches
+	 */
+	journalStalled(since: number | undefined): void;
 	/** Performs work that is due, and places tasks that may start. */
 	tick(now: number): void;
 	/** Returns the time of the next tick that is needed if no message arrives before. */
@@ -154,6 +159,12 @@
 			jobMaintenance.stored(batch, offset, now);
 			hostMaintenance.handleBatchStored(batch, offset, now);
 		},
+		journalStalled: since => {
+			if ((since === undefined) !== (context.journalStalledSince === undefined)) {
+				context.logDecision(since === undefined ? 'journal-writable' : 'journal-stalled', { term: context.term });
+			}
+			context.journalStalledSince = since;
+		},
 		tick: now => {
 			if (context.term === undefined) {
 				return;
--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -74,6 +74,8 @@
 	readonly unpublishedEndedJobs: Set<Job>;
 	/** Number of jobs that have not ended. */
 	openJobCount: number;
+	/** Send time of the first append to the journal that is not stored, while the journal stalls. */
+	journalStalledSince: number | undefined;
 	/** Whether a change since the last scheduling pass may allow a step to start. */
 	needsSchedulingPass: boolean;
 	/** Applies an event that is in the journal already, or has just been recorded with offset 0. */
@@ -243,6 +245,7 @@
 		unstoredJobs: [],
 		unpublishedEndedJobs: new Set(),
 		openJobCount: 0,
+		journalStalledSince: undefined,
 		needsSchedulingPass: false,
 		hosts,
 		apply,
--- a/packages/engine/src/common/engineMessages.ts
+++ b/packages/engine/src/common/engineMessages.ts
@@ -80,7 +80,8 @@
 }
 
 /** Reason why a job is refused. A refused job never runs unless it is submitted again. */
-export type SubmitRefusal = 'unknown-queue' | 'bad-request' | 'overloaded' | 'not-ready' | 'request-key-used';
+export type SubmitRefusal =
+	'unknown-queue' | 'bad-request' | 'overloaded' | 'not-ready' | 'log-unavailable' | 'request-key-used';
 
 /** Outcome of a submission. The caller may be answered only after `batch` is stored. */
 export type SubmitDecision =
--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -15,6 +15,7 @@
 import { remainingCriticalPaths, criticalPathLength } from '../scheduling/criticalPath.js';
 import { effectiveDemand } from '../scheduling/placement.js';
 import { checkJobSpec } from './checkJobSpec.js';
+import { stallRetryDelay } from './journalStall.js';
 import type { RunTerminator } from './runTerminator.js';
 import type { InternalJobState, Job } from './job.js';
 
@@ -25,6 +26,11 @@
 export interface JobRequestHandler {
 	/** Accepts or refuses a job. A repeated submission of an accepted job is accepted again. */
 	submit(submission: Submission, now: number): SubmitDecision;
+	/**
+	 * Removes a job of which no record can have been stored, and which has therefore neither started nor been acknowledged.
+	 * The caller must also withdraw its acceptance from the journal and its start orders.
+	 */
+	withdraw(id: string, now: number): void;
 	/** Cancels an open job and stops its runs. @param team the caller's team; `undefined` for an open queue */
 	cancel(id: string, team: string | undefined, now: number): CancelDecision;
 	/** Returns the state of a job as far as the journal has stored it. */
@@ -161,6 +167,16 @@
 					NOT_READY_RETRY_MS,
 				);
 			}
+			const stalledSince = context.journalStalledSince;
+			if (stalledSince !== undefined) {
+				const stalledForMs = now - stalledSince;
+				return refuse(
+					submission,
+					'log-unavailable',
+					`the journal has stored nothing for ${Math.round(stalledForMs)} ms`,
+					stallRetryDelay(stalledForMs),
+				);
+			}
 			const retryAfterMs = admissionRetryDelay(submission, queue, now);
 			if (retryAfterMs !== undefined) {
 				return refuse(
@@ -186,6 +202,28 @@
 			logDecision('job-accepted', { job: id, queue: name, team, steps: spec.steps.length, plan: context.plan.version });
 			return { type: 'accepted', batch: context.nextBatch };
 		},
+		withdraw: (id, now) => {
+			const job = jobs.get(id);
+			if (job === undefined) {
+				return;
+			}
+			counters.add('jobs_withdrawn_total', { queue: job.accepted.queue });
+			logDecision('job-withdrawn', {
+				job: id,
+				queue: job.accepted.queue,
+				reason: 'the journal stalled before it was stored',
+			});
+			for (const occurrence of job.occurrences.values()) {
+				for (const step of occurrence.steps) {
+					step.tasks.flatMap(task => [...task.runs]).forEach(run => runTerminator.discard(run, 'withdrawn', now));
+				}
+			}
+			context.record({ type: 'cancelled', job: id }, now);
+			runTerminator.stopJob(job, 'cancelled');
+			context.record({ type: 'forgotten', jobs: [id] }, now);
+			context.unpublishedEndedJobs.delete(job);
+			context.unstoredJobs.splice(0, Infinity, ...context.unstoredJobs.filter(unstored => unstored !== job));
+		},
 		cancel: (id, team, now) => {
 			const job = findJob(id, team);
 			if (job === undefined) {
