Survive malformed input and unexpected errors, and check parameters of peer calls

Cause: an error that no task caught ended the process.

Events that cannot be applied are skipped and counted. A job may have 100,000 tasks in all occurrences.

--- /dev/null
+++ b/packages/coordinator/src/common/peerSchemas.ts
@@ -0,0 +1,66 @@
+import { z } from 'zod';
+import type { PeerMethod } from './peerProtocol.js';
+
+/** An IPv4 address and a port, as daemons listen on. */
+const peerAddress = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/);
+
+const identity = z.object({ term: z.number().int().min(1), entryHost: z.string().min(1), address: peerAddress });
+
+const jobCall = z.object({ id: z.string().min(1), team: z.string().optional() });
+
+const queue = z.object({
+	name: z.string(),
+	host: z.string(),
+	pathPrefix: z.string(),
+	pool: z.string(),
+	priority: z.number(),
+	attempts: z.number(),
+	objectiveFactor: z.number(),
+	objectiveMs: z.number(),
+	isOpen: z.boolean(),
+});
+
+const plan = z.object({
+	version: z.number().int(),
+	queues: z.array(queue),
+	pools: z.array(z.object({ name: z.string(), isStandby: z.boolean() })),
+	teams: z.array(
+		z.object({
+			name: z.string(),
+			keys: z.array(z.string()),
+			weight: z.number(),
+			cap: z.object({ milliCores: z.number(), memoryMb: z.number(), accelerators: z.number() }),
+		}),
+	),
+	limits: z.object({ bodyBytes: z.number() }),
+});
+
+/** The parts of the parameters that a handler relies on. The steps of a job are checked when it is submitted. */
+const parameterSchemas: Readonly<Record<PeerMethod, z.ZodType>> = {
+	'peer.hello': z.object({ entryHost: z.string().min(1) }),
+	'leader.heard': z.object({}),
+	'leader.alive': z.object({ leader: identity, planVersion: z.number(), isResigning: z.boolean() }),
+	'job.submit': z.object({
+		id: z.string().min(1),
+		queue: z.string(),
+		team: z.string().optional(),
+		planVersion: z.number(),
+		spec: z.object({ payload: z.string(), steps: z.array(z.unknown()).min(1), repeats: z.number() }),
+	}),
+	'job.cancel': jobCall,
+	'job.state': jobCall,
+	'queue.pending': z.object({ queue: z.string() }),
+	'plan.get': z.object({}),
+	'plan.offer': z.object({ plan }),
+	'store.reachable': z.object({}),
+};
+
+/** Returns a description of the first parameter that a handler could not use; `undefined` if there is none. */
+export function findInvalidParameter(method: PeerMethod, parameters: unknown): string | undefined {
+	const parsed = parameterSchemas[method].safeParse(parameters);
+	if (parsed.success) {
+		return undefined;
+	}
+	const [issue] = parsed.error.issues;
+	return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'invalid value'}`;
+}
--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -41,6 +41,8 @@
 	isReady(): boolean;
 	/** Hands over the term if this daemon leads, and reports not ready. Calls are still forwarded to the leader. */
 	drain(): void;
+	/** Handles an error that no task has caught. The process goes on; a leader gives up its term, whose state is in doubt. */
+	handleUnexpectedError(error: unknown): void;
 	/** Removes this daemon from the member list and stops all its tasks. */
 	stop(): Promise<void>;
 }
@@ -62,6 +64,9 @@
  */
 const RESIGN_WITHIN_FRACTION = 0.75;
 
+/** Number of lines of a stack trace that are logged with an unexpected error. */
+const STACK_LINES_LOGGED = 4;
+
 /** Interval at which a stopping daemon checks whether it has handed over its term. */
 const RESIGN_POLL_INTERVAL_MS = 20;
 
@@ -190,6 +195,12 @@
 			election.disableCandidacy();
 			drainController.abort();
 		},
+		handleUnexpectedError: error => {
+			counters.add('unexpected_errors_total');
+			const origin = error instanceof Error ? error.stack?.split('\n', STACK_LINES_LOGGED).join(' ') : undefined;
+			logDecision('unexpected-error', { reason: errorMessageOf(error), origin });
+			termLeader.fail(error);
+		},
 		stop: async () => {
 			while (election.isLeading && clock.now() < resignBy) {
 				await delay(RESIGN_POLL_INTERVAL_MS, signal);
--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -17,7 +17,7 @@
 export interface JournalReadResult {
 	readonly records: number;
 	readonly bytes: number;
-	/** Number of records that could not be decoded and were skipped. */
+	/** Number of records that could not be decoded, and of events that could not be applied. They were skipped. */
 	readonly unreadable: number;
 }
 
@@ -70,7 +70,9 @@
 				unreadable++;
 			}
 			for (const event of events ?? []) {
-				onEvent(event, from);
+				if (!applyEvent(event, from, onEvent)) {
+					unreadable++;
+				}
 			}
 			from++;
 		}
@@ -78,6 +80,20 @@
 	return { records, bytes, unreadable };
 }
 
+/** Applies an event. @returns whether it could be applied; another build or a faulty writer may have written it */
+function applyEvent(
+	event: JournalEvent,
+	offset: number,
+	onEvent: (event: JournalEvent, offset: number) => void,
+): boolean {
+	try {
+		onEvent(event, offset);
+		return true;
+	} catch {
+		return false;
+	}
+}
+
 /** Raises the writer epoch of the journal to the term. @returns the end offset of the journal */
 async function fencePredecessors(
 	log: LogService,
--- a/packages/coordinator/src/node/leader/leadTerm.ts
+++ b/packages/coordinator/src/node/leader/leadTerm.ts
@@ -9,7 +9,7 @@
 /** Options of {@link createTermLeader}. */
 export interface TermLeaderOptions<Term extends MaintainedTerm> extends Omit<
 	MaintainTermOptions,
-	'identity' | 'predecessor' | 'proof' | 'begun' | 'blockedSince'
+	'identity' | 'predecessor' | 'proof' | 'begun' | 'blockedSince' | 'failure'
 > {
 	/** Takes over the journal and starts the engine. Repeats calls that the store does not serve. */
 	readonly begin: (
@@ -26,6 +26,8 @@
 	lead(identity: LeaderIdentity, predecessor: Predecessor, signal: AbortSignal): Promise<TermOutcome>;
 	/** Returns the current term once its engine runs. */
 	term(): Term | undefined;
+	/** Gives up the current term, if there is one, because of an unexpected error. */
+	fail(error: unknown): void;
 	/** Returns the time since which the store does not serve the takeover of the journal, if it does not. */
 	blockedSince(): number | undefined;
 }
@@ -35,14 +37,17 @@
 	const { clock, logDecision } = options;
 	let term: Term | undefined;
 	let blockedSince: number | undefined;
+	let failure = new AbortController();
 
 	return {
 		term: () => term,
 		blockedSince: () => blockedSince,
+		fail: error => failure.abort(error),
 		lead: async (identity, predecessor, signal) => {
 			const controller = new AbortController();
 			const termSignal = AbortSignal.any([signal, controller.signal]);
 			setMaxListeners(0, termSignal);
+			failure = new AbortController();
 			const proof = createTermProof(clock);
 			const onBlocked: BlockedListener = isBlocked => {
 				if (isBlocked && blockedSince === undefined) {
@@ -57,7 +62,15 @@
 			};
 			try {
 				return await maintainTerm(
-					{ ...options, identity, predecessor, proof, begun: begin(), blockedSince: () => blockedSince },
+					{
+						...options,
+						identity,
+						predecessor,
+						proof,
+						begun: begin(),
+						blockedSince: () => blockedSince,
+						failure: failure.signal,
+					},
 					termSignal,
 				);
 			} finally {
--- a/packages/coordinator/src/node/leader/maintainTerm.ts
+++ b/packages/coordinator/src/node/leader/maintainTerm.ts
@@ -57,6 +57,8 @@
 	readonly logDecision: DecisionLogger;
 	/** Aborted when the daemon is about to stop, so that the leader resigns. */
 	readonly resignation: AbortSignal;
+	/** Aborted, with the reason, when an unexpected error occurs in this process while it leads. */
+	readonly failure: AbortSignal;
 	/** Returns the time by which a leader that is about to stop resigns even if no successor could take over. */
 	readonly resignBy: () => number;
 }
@@ -228,12 +230,7 @@
 	};
 
 	const awaitResignation = async (): Promise<TermOutcome> => {
-		await new Promise<void>(resolve => {
-			if (resignation.aborted) {
-				resolve();
-			}
-			resignation.addEventListener('abort', () => resolve(), { once: true });
-		});
+		await aborted(resignation);
 		try {
 			return await resign();
 		} catch (error) {
@@ -242,11 +239,30 @@
 		}
 	};
 
+	/** Gives up the term after an unexpected error. The next leader rebuilds its state from the journal and the workers. */
+	const awaitFailure = async (): Promise<TermOutcome> => {
+		await aborted(options.failure);
+		logDecision('term-failed', { term: identity.term, reason: errorMessageOf(options.failure.reason) });
+		term?.quiesce();
+		followers.sendHeartbeats({ topicEnd: leaderTopicEnd, successor: followers.chooseSuccessor() });
+		return 'failed';
+	};
+
 	void followers.announce(running);
 	void runHeartbeats();
 	try {
-		return await Promise.race([awaitLoss(), runRecordRenewal(), awaitResignation()]);
+		return await Promise.race([awaitLoss(), runRecordRenewal(), awaitResignation(), awaitFailure()]);
 	} finally {
 		finished.abort();
 	}
 }
+
+/** Resolves when a signal is aborted. */
+function aborted(signal: AbortSignal): Promise<void> {
+	return new Promise(resolve => {
+		if (signal.aborted) {
+			resolve();
+		}
+		signal.addEventListener('abort', () => resolve(), { once: true });
+	});
+}
--- a/packages/coordinator/src/node/leadership/leaderElection.ts
+++ b/packages/coordinator/src/node/leadership/leaderElection.ts
@@ -90,8 +90,8 @@
 	let suspendedUntil = 0;
 	/** Newest term in which this process led. */
 	let lastLedTerm = 0;
-	/** Number of consecutive terms of this daemon that ended before they began. */
-	let unbegunTerms = 0;
+	/** Number of consecutive terms of this daemon that did not begin or failed. */
+	let failedTerms = 0;
 	let previousLeaderSeenAt: number | undefined;
 	/** Last suspicion that was logged. A line is written only when it changes. */
 	let lastSuspicion = '';
@@ -230,8 +230,8 @@
 		lastContactAt = -Infinity;
 		lastLeaderSignAt = clock.now();
 		logDecision('term-ends', { term: identity.term, outcome });
-		unbegunTerms = outcome === 'not-begun' ? unbegunTerms + 1 : 0;
-		suspendedUntil = clock.now() + candidacyPause(outcome, unbegunTerms);
+		failedTerms = outcome === 'not-begun' || outcome === 'failed' ? failedTerms + 1 : 0;
+		suspendedUntil = clock.now() + candidacyPause(outcome, failedTerms);
 	};
 
 	/** Takes over from a leader that has resigned. @returns whether this daemon obtained the term and led */
@@ -281,9 +281,7 @@
 		}
 		const peers = isVacant ? { answered: 0, knownLeader: undefined } : await queryPeers();
 		const isHeardByPeer =
-			peers.knownLeader !== undefined &&
-			peers.knownLeader.term >= knownTerm() &&
-			isOtherDaemon(peers.knownLeader);
+			peers.knownLeader !== undefined && peers.knownLeader.term >= knownTerm() && isOtherDaemon(peers.knownLeader);
 		if (isHeardByPeer && peers.knownLeader !== undefined) {
 			adoptLeader(peers.knownLeader);
 		}
--- a/packages/coordinator/src/node/peers/peerConnection.ts
+++ b/packages/coordinator/src/node/peers/peerConnection.ts
@@ -2,6 +2,7 @@
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { kindError, errorMessageOf } from '@chestnutwheel/base/common/kindError.js';
+import { findInvalidParameter } from '../../common/peerSchemas.js';
 import type { PeerHandlers, PeerSession, PeerMethod, PeerMethods } from '../../common/peerProtocol.js';
 
 /** Maximum size of one message; a plan with some thousands of queues fits. */
@@ -80,9 +81,14 @@
 	const onHandlerError = (): void => counters.add('peer_handlers_failed_total');
 	const server = new JSONRPCServer<PeerSession>({ errorListener: onHandlerError });
 	for (const [method, handler] of Object.entries(handlers)) {
-		server.addMethod(method, (parameters, session) =>
-			(handler as (parameters: unknown, session: PeerSession) => unknown)(parameters, session),
-		);
+		server.addMethod(method, (parameters: unknown, session) => {
+			const problem = findInvalidParameter(method as PeerMethod, parameters);
+			if (problem !== undefined) {
+				counters.add('peer_parameters_invalid_total', { method });
+				throw kindError('bad-request', `${method}: ${problem}`);
+			}
+			return (handler as (parameters: unknown, session: PeerSession) => unknown)(parameters, session);
+		});
 	}
 	const client = new JSONRPCClient((message: unknown) => {
 		send(message);
--- a/packages/engine/src/common/jobs/checkJobSpec.ts
+++ b/packages/engine/src/common/jobs/checkJobSpec.ts
@@ -4,6 +4,8 @@
 const MAXIMUM_STEPS = 64;
 const MAXIMUM_TASKS = 4_096;
 const MAXIMUM_REPEATS = 10_000;
+/** All occurrences may be due at once. */
+const MAXIMUM_TASKS_OF_ALL_OCCURRENCES = 100_000;
 
 /** Validates a job specification. Returns a description of the first violation; `undefined` if the job is valid. */
 export function checkJobSpec(spec: JobSpec): string | undefined {
@@ -18,6 +20,9 @@
 	if (repeats > MAXIMUM_REPEATS || (repeats > 1 && intervalMs <= 0)) {
 		return `${repeats} repeats every ${intervalMs} ms; expected at most ${MAXIMUM_REPEATS}, with an interval above 0`;
 	}
+	if (tasks * repeats > MAXIMUM_TASKS_OF_ALL_OCCURRENCES) {
+		return `${repeats} repeats of ${tasks} tasks; expected at most ${MAXIMUM_TASKS_OF_ALL_OCCURRENCES} tasks in all`;
+	}
 	for (const [number, step] of steps.entries()) {
 		const problem = checkStep(step, number);
 		if (problem !== undefined) {
