Relay the calls of a leader that the store turns away alone

Change: the followers carry out the leader's appends and reads until the store serves it again. Appends keep their writer sequence, so a repeat by another path is stored once; a conditional append with an unknown outcome is read back as before. New worker entries, plans and waves reach the leader through its followers too. Standing aside remains for a leader whose followers cannot help.

--- a/packages/coordinator/src/common/peerProtocol.ts
+++ b/packages/coordinator/src/common/peerProtocol.ts
@@ -4,7 +4,11 @@
 	SubmitDecision,
 	Submission,
 } from '@chestnutwheel/engine/common/engineMessages.js';
-import type { FleetPlan } from '@chestnutwheel/ports/common/fleetPlan.js';
+import type { FeedOutcome } from '@chestnutwheel/ports/common/feeds.js';
+import type { FleetPlan, MaintenanceWave } from '@chestnutwheel/ports/common/fleetPlan.js';
+import type { AppendConditions, AppendOutcome, LogTopic } from '@chestnutwheel/ports/common/logService.js';
+import type { WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
+import type { EncodedNewestOutcome, EncodedReadOutcome } from './relayCodec.js';
 
 /** Identity of the leader, as daemons exchange it. */
 export interface LeaderIdentity {
@@ -59,7 +63,7 @@
 			/** Entry host that the resigning leader has chosen as its successor. The other daemons stand only after it. */
 			readonly successor?: string | undefined;
 		};
-		readonly result: { readonly planVersion: number } & FollowerStatus;
+		readonly result: { readonly planVersion: number; readonly newestWave: number } & FollowerStatus;
 	};
 	'job.submit': { readonly parameters: Submission; readonly result: SubmitDecision | NotLeader | StalePlan };
 	'job.cancel': {
@@ -74,8 +78,36 @@
 		readonly parameters: { readonly queue: string };
 		readonly result: { readonly type: 'pending'; readonly pending: number } | NotLeader;
 	};
-	'plan.get': { readonly parameters: Record<string, never>; readonly result: { readonly plan: FleetPlan | undefined } };
+	'plan.get': {
+		readonly parameters: Record<string, never>;
+		readonly result: { readonly plan: FleetPlan | undefined; readonly waves: readonly MaintenanceWave[] };
+	};
 	'plan.offer': { readonly parameters: { readonly plan: FleetPlan }; readonly result: { readonly version: number } };
+	/** Appends to a topic of the store for a leader that the store does not serve. */
+	'store.append': {
+		readonly parameters: {
+			readonly topic: LogTopic;
+			/** Records in base64. */
+			readonly records: readonly string[];
+			readonly conditions: AppendConditions;
+		};
+		readonly result: { readonly outcome: AppendOutcome };
+	};
+	/** Reads a topic of the store for a leader that the store does not serve. */
+	'store.read': {
+		readonly parameters: { readonly topic: LogTopic; readonly from: number; readonly waitMs: number };
+		readonly result: { readonly outcome: EncodedReadOutcome };
+	};
+	/** Reads the newest records of a keyed topic for a leader that the store does not serve. */
+	'store.newest': {
+		readonly parameters: { readonly topic: LogTopic };
+		readonly result: { readonly outcome: EncodedNewestOutcome };
+	};
+	/** Reads worker entries for a leader that the store does not serve. Without `from`, all entries are read. */
+	'feed.workers': {
+		readonly parameters: { readonly from?: number | undefined };
+		readonly result: { readonly outcome: FeedOutcome<WorkerEntry> };
+	};
 	/** Returns whether the store currently serves the peer. */
 	'store.reachable': { readonly parameters: Record<string, never>; readonly result: { readonly reachable: boolean } };
 }
--- a/packages/coordinator/src/common/peerSchemas.ts
+++ b/packages/coordinator/src/common/peerSchemas.ts
@@ -6,6 +6,10 @@
 
 const identity = z.object({ term: z.number().int().min(1), entryHost: z.string().min(1), address: peerAddress });
 
+const MAXIMUM_WAIT_MS = 30_000;
+
+const topic = z.enum(['leader', 'members', 'journal', 'wave-status']);
+
 const jobCall = z.object({ id: z.string().min(1), team: z.string().optional() });
 
 const queue = z.object({
@@ -52,6 +56,14 @@
 	'queue.pending': z.object({ queue: z.string() }),
 	'plan.get': z.object({}),
 	'plan.offer': z.object({ plan }),
+	'store.append': z.object({
+		topic,
+		records: z.array(z.string()),
+		conditions: z.object({ at: z.number().optional(), writer: z.object({ name: z.string() }).loose().optional() }),
+	}),
+	'store.read': z.object({ topic, from: z.number().min(0), waitMs: z.number().min(0).max(MAXIMUM_WAIT_MS) }),
+	'store.newest': z.object({ topic }),
+	'feed.workers': z.object({ from: z.number().min(0).optional() }),
 	'store.reachable': z.object({}),
 };
 
--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -21,6 +21,9 @@
 import { createLeaderElection, type LeaderElection } from './leadership/leaderElection.js';
 import { createMemberList } from './leadership/memberList.js';
 import { createPeerNetwork } from './peers/peerNetwork.js';
+import { createRelayedLog } from './relay/relayedLog.js';
+import { createRelayedWorkerFeed } from './relay/relayedWorkerFeed.js';
+import { createStoreRelay } from './relay/storeRelay.js';
 import { createPlanCache } from './plan/planCache.js';
 
 /** Services of the platform that the daemon uses. */
@@ -100,6 +103,14 @@
 	const members = createMemberList(services.log, self);
 	const network = createPeerNetwork((): PeerHandlers => handlers, clock, counters, signal);
 
+	const isStoreServing = async (timeoutMs: number): Promise<boolean> =>
+		(await services.log.newest('leader', AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]))).type === 'newest';
+	const relay = createStoreRelay(
+		{ network, probe: () => isStoreServing(STORE_PROBE_TIMEOUT_MS), clock, counters, logDecision },
+		signal,
+	);
+	const relayedLog = createRelayedLog(services.log, relay);
+	const relayedWorkerFeed = createRelayedWorkerFeed(services.workerFeed, relay);
 	const termLeader = createTermLeader<LeaderTerm>({
 		begin: (identity, proof, onBlocked, termSignal) =>
 			beginTerm(
@@ -107,6 +118,8 @@
 				{
 					settings,
 					...services,
+					log: relayedLog,
+					workerFeed: relayedWorkerFeed,
 					planCache,
 					clock,
 					counters,
@@ -119,7 +132,7 @@
 			),
 		settings: settings.leadership,
 		self,
-		log: services.log,
+		log: relayedLog,
 		network,
 		members,
 		planCache,
@@ -160,9 +173,10 @@
 		term: () => termLeader.term(),
 		blockedSince: () => termLeader.blockedSince(),
 		planCache,
-		isStoreReachable: async () =>
-			(await services.log.newest('leader', AbortSignal.any([signal, AbortSignal.timeout(STORE_PROBE_TIMEOUT_MS)])))
-				.type === 'newest',
+		isStoreReachable: () => isStoreServing(STORE_PROBE_TIMEOUT_MS),
+		log: services.log,
+		workerFeed: services.workerFeed,
+		signal,
 		clock,
 	});
 	const leaderClient = createLeaderClient({ election, handlers: () => handlers, planCache, clock, counters });
--- a/packages/coordinator/src/node/decisionLog.ts
+++ b/packages/coordinator/src/node/decisionLog.ts
@@ -1,13 +1,13 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
 import { destination, pino } from 'pino';
+import { createLineBudget } from '../common/lineBudget.js';
 
 /** Size of the output buffer, in bytes. Lines are written when it is full or flushed. */
 const BUFFER_BYTES = 4_096;
 
 /** Maximum time that a line stays in the buffer. */
 const FLUSH_DELAY_MS = 200;
-const SECOND_MS = 1_000;
 
 /** Structured log on standard output, with one line for each decision. */
 export interface DecisionLog {
@@ -28,9 +28,7 @@
 export function createDecisionLog({ entryHost, linesPerSecond, counters }: DecisionLogOptions): DecisionLog {
 	const stream = destination({ dest: 1, sync: false, minLength: BUFFER_BYTES });
 	const logger = pino({ base: { entryHost } }, stream);
-	let second = 0;
-	let lines = 0;
-	let droppedLines = 0;
+	const budget = createLineBudget(linesPerSecond);
 	let timer: NodeJS.Timeout | undefined;
 	const scheduleFlush = (): void => {
 		timer ??= setTimeout(() => {
@@ -41,18 +39,11 @@
 
 	return {
 		logDecision: (decision, fields) => {
-			const now = Math.floor(performance.now() / SECOND_MS);
-			if (now !== second) {
-				if (droppedLines > 0) {
-					logger.info({ decision: 'log-lines-left-out', lines: droppedLines });
-				}
-				second = now;
-				lines = 0;
-				droppedLines = 0;
+			const omitted = budget.beginSecond(performance.now());
+			if (omitted > 0) {
+				logger.info({ decision: 'log-lines-left-out', lines: omitted });
 			}
-			lines++;
-			if (lines > linesPerSecond) {
-				droppedLines++;
+			if (!budget.admit(decision)) {
 				counters.add('log_lines_left_out_total');
 				return;
 			}
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -1,9 +1,12 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { FollowerStatus, NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
 import { refuseWhileBlocked, submitOnLeader } from './jobSubmission.js';
+import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
+import type { LogService } from '@chestnutwheel/ports/common/logService.js';
+import { decodeBytes, encodeNewestOutcome, encodeReadOutcome } from '../../common/relayCodec.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
-import type { PlanCache } from '../plan/planCache.js';
+import { newestWaveOf, type PlanCache } from '../plan/planCache.js';
 
 /** Options of {@link createPeerHandlers}. */
 export interface PeerHandlersOptions {
@@ -17,12 +20,17 @@
 	readonly blockedSince: () => number | undefined;
 	readonly planCache: PlanCache;
 	readonly isStoreReachable: () => Promise<boolean>;
+	/** Store of this daemon, to which it relays calls of a leader. */
+	readonly log: LogService;
+	readonly workerFeed: WorkerFeed;
+	readonly signal: AbortSignal;
 	readonly clock: Clock;
 }
 
 /** Creates the handlers of the peer protocol. */
 export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
 	const { self, status, election, term, blockedSince, planCache, isStoreReachable, clock } = options;
+	const { log, workerFeed, signal } = options;
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
 
 	return {
@@ -35,7 +43,12 @@
 		'leader.heard': () => ({ leader: election.leader(), silentForMs: election.leaderSilenceMs() }),
 		'leader.alive': alive => {
 			election.recordHeartbeat(alive, clock.now());
-			return { planVersion: planCache.current()?.version ?? 0, entryHost: self.entryHost, ...status() };
+			return {
+				planVersion: planCache.current()?.version ?? 0,
+				newestWave: newestWaveOf(planCache),
+				entryHost: self.entryHost,
+				...status(),
+			};
 		},
 		'job.submit': submission => {
 			const currentTerm = term();
@@ -65,11 +78,21 @@
 				? notLeading()
 				: { type: 'pending', pending: currentTerm.engine.pendingCount(queue) };
 		},
-		'plan.get': () => ({ plan: planCache.current() }),
+		'plan.get': () => ({ plan: planCache.current(), waves: planCache.waves() }),
 		'plan.offer': ({ plan: offered }) => {
 			planCache.offer(offered);
 			return { version: planCache.current()?.version ?? 0 };
 		},
+		'store.append': async ({ topic, records, conditions }) => ({
+			outcome: await log.append(topic, records.map(decodeBytes), conditions, signal),
+		}),
+		'store.read': async ({ topic, from, waitMs }) => ({
+			outcome: encodeReadOutcome(await log.read(topic, from, waitMs, signal)),
+		}),
+		'store.newest': async ({ topic }) => ({ outcome: encodeNewestOutcome(await log.newest(topic, signal)) }),
+		'feed.workers': async ({ from }) => ({
+			outcome: from === undefined ? await workerFeed.snapshot(signal) : await workerFeed.changes(from, 0, signal),
+		}),
 		'store.reachable': async () => ({ reachable: await isStoreReachable() }),
 	};
 }
--- a/packages/coordinator/src/node/leader/followers.ts
+++ b/packages/coordinator/src/node/leader/followers.ts
@@ -1,11 +1,11 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
-import type { LeaderIdentity } from '../../common/peerProtocol.js';
+import type { LeaderIdentity, PeerMethods } from '../../common/peerProtocol.js';
 import { chooseSuccessor, type SuccessorCandidate } from '../../common/successorChoice.js';
 import type { MemberList } from '../leadership/memberList.js';
 import type { PeerConnection } from '../peers/peerConnection.js';
 import type { PeerNetwork } from '../peers/peerNetwork.js';
-import type { PlanCache } from '../plan/planCache.js';
+import { newestWaveOf, type PlanCache } from '../plan/planCache.js';
 
 /** Timeout of a call to a follower. */
 const FOLLOWER_CALL_TIMEOUT_MS = 1_000;
@@ -49,15 +49,19 @@
 	const statuses = new WeakMap<PeerConnection, SuccessorCandidate<string>>();
 
 	/** Brings the fleet plans of leader and follower in line; the store may be rejecting one of the two. */
-	const exchangePlans = async (connection: PeerConnection, planVersion: number): Promise<void> => {
+	const exchangePlans = async (
+		connection: PeerConnection,
+		{ planVersion, newestWave }: PeerMethods['leader.alive']['result'],
+	): Promise<void> => {
 		const current = planCache.current();
 		if (current !== undefined && planVersion < current.version) {
 			await connection.call('plan.offer', { plan: current }, FOLLOWER_CALL_TIMEOUT_MS);
-		} else if (planVersion > (current?.version ?? 0)) {
-			const { plan: newer } = await connection.call('plan.get', {}, FOLLOWER_CALL_TIMEOUT_MS);
+		} else if (planVersion > (current?.version ?? 0) || newestWave > newestWaveOf(planCache)) {
+			const { plan: newer, waves } = await connection.call('plan.get', {}, FOLLOWER_CALL_TIMEOUT_MS);
 			if (newer !== undefined) {
 				planCache.offer(newer);
 			}
+			planCache.offerWaves(waves);
 		}
 	};
 
@@ -68,7 +72,7 @@
 			const answer = await connection.call('leader.alive', parameters, FOLLOWER_CALL_TIMEOUT_MS);
 			const { entryHost: follower, canLead, uptimeMs } = answer;
 			statuses.set(connection, { follower, canLead, startedAt: clock.now() - uptimeMs });
-			await exchangePlans(connection, answer.planVersion);
+			await exchangePlans(connection, answer);
 		} catch {
 			counters.add('followers_silent_total');
 		}
--- a/packages/coordinator/src/node/plan/planCache.ts
+++ b/packages/coordinator/src/node/plan/planCache.ts
@@ -21,11 +21,18 @@
 	waves(): readonly MaintenanceWave[];
 	/** Accepts a plan that a peer has read, if it is newer. */
 	offer(plan: FleetPlan): void;
+	/** Accepts the waves that a peer has read, as far as they are unknown. */
+	offerWaves(waves: readonly MaintenanceWave[]): void;
 	onPlanChange(listener: (plan: FleetPlan) => void, signal: AbortSignal): void;
 	onWavesChange(listener: (waves: readonly MaintenanceWave[]) => void, signal: AbortSignal): void;
 	run(signal: AbortSignal): Promise<void>;
 }
 
+/** Returns the number of the newest wave that a cache knows; 0 if it knows none. */
+export function newestWaveOf(cache: PlanCache): number {
+	return Math.max(0, ...cache.waves().map(({ wave }) => wave));
+}
+
 /** Creates an empty cache, which is filled from the feed by `run` and from peers by `offer`. */
 export function createPlanCache(
 	feed: OperatorFeed,
@@ -48,15 +55,17 @@
 		planChanges.emit(offered);
 	};
 
+	const offerWave = (wave: MaintenanceWave): void => {
+		if (!waves.has(wave.wave)) {
+			logDecision('wave-read', { wave: wave.wave, hosts: wave.hosts.length, maximumDown: wave.maximumDown });
+			waves.set(wave.wave, wave);
+			waveChanges.emit([...waves.values()]);
+		}
+	};
+
 	const apply: { readonly [Type in OperatorEntry['type']]: (entry: Extract<OperatorEntry, { type: Type }>) => void } = {
 		plan: entry => offer(entry.plan),
-		wave: ({ wave }) => {
-			if (!waves.has(wave.wave)) {
-				logDecision('wave-read', { wave: wave.wave, hosts: wave.hosts.length, maximumDown: wave.maximumDown });
-				waves.set(wave.wave, wave);
-				waveChanges.emit([...waves.values()]);
-			}
-		},
+		wave: ({ wave }) => offerWave(wave),
 	};
 
 	const applyChanges = (outcome: Extract<FeedOutcome<OperatorEntry>, { type: 'changes' }>): void => {
@@ -74,6 +83,7 @@
 		current: () => plan,
 		waves: () => [...waves.values()],
 		offer,
+		offerWaves: offered => offered.forEach(offerWave),
 		onPlanChange: (listener, signal) => planChanges.listen(listener, signal),
 		onWavesChange: (listener, signal) => waveChanges.listen(listener, signal),
 		run: async signal => {
--- a/packages/coordinator/src/test/leadership.test.ts
+++ b/packages/coordinator/src/test/leadership.test.ts
@@ -91,6 +91,30 @@
 	});
 });
 
+describe('a leader that the store turns away alone', () => {
+	/** Longest time between two batches that were stored since a time. */
+	const longestPauseMs = (since: number): number => {
+		const times = [since, ...model.storedAt.filter(at => at > since), time.clock.now()];
+		return Math.max(...times.slice(1).map((at, index) => at - (times[index] ?? at)));
+	};
+
+	it.each(['refuse', 'lose', 'act-and-lose'] as const)(
+		'keeps its term and stores its journal through a follower, if the store would %s its calls',
+		async mood => {
+			await startAll('a', 'b', 'c');
+			const { name } = leaderDaemon();
+			weather = daemon => (daemon === name ? mood : 'serve');
+			const since = time.clock.now();
+			await time.advance(7_000);
+			expect(model.terms).toHaveLength(1);
+			expect(longestPauseMs(since)).toBeLessThan(500);
+			weather = fairWeather;
+			await time.advance(2_000);
+			expect(longestPauseMs(since)).toBeLessThan(500);
+		},
+	);
+});
+
 describe('a rolling stop of all daemons', () => {
 	it('changes the leader once, to a daemon that has been restarted already', async () => {
 		const names = ['a', 'b', 'c', 'd'];
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -13,6 +13,8 @@
 import { createMemberList } from '../node/leadership/memberList.js';
 import type { PeerConnection } from '../node/peers/peerConnection.js';
 import type { PeerNetwork } from '../node/peers/peerNetwork.js';
+import { createRelayedLog } from '../node/relay/relayedLog.js';
+import { createStoreRelay } from '../node/relay/storeRelay.js';
 import type { PlanCache } from '../node/plan/planCache.js';
 import type { VirtualTime } from './virtualTime.js';
 
@@ -47,6 +49,8 @@
 export interface LeadershipModel {
 	readonly daemons: readonly ModelDaemon[];
 	readonly terms: readonly ObservedTerm[];
+	/** Times at which leaders stored a batch. */
+	readonly storedAt: readonly number[];
 	/** Starts a further daemon. */
 	start(name: string): ModelDaemon;
 	/** Stops all tasks of the model. */
@@ -75,11 +79,15 @@
 	current: () => undefined,
 	waves: () => [],
 	offer: () => undefined,
+	offerWaves: () => undefined,
 	onPlanChange: () => undefined,
 	onWavesChange: () => undefined,
 	run: () => Promise.resolve(),
 };
 
+const noEntries = (): Promise<{ type: 'failed'; reason: string }> =>
+	Promise.resolve({ type: 'failed', reason: 'the model has no workers' });
+
 interface ModelStore {
 	logFor(daemon: string): LogService;
 }
@@ -222,6 +230,7 @@
 	const endpoints = new Map<string, Endpoint>();
 	const daemons: ModelDaemon[] = [];
 	const terms: ObservedTerm[] = [];
+	const storedAt: number[] = [];
 	const controller = new AbortController();
 	setMaxListeners(0, controller.signal);
 	const random = createSeededRandom(SEED);
@@ -240,15 +249,27 @@
 		const draining = new AbortController();
 		let resignBy = Infinity;
 
+		const relay = createStoreRelay(
+			{
+				network,
+				probe: async () => (await log.newest('leader', signal)).type === 'newest',
+				clock,
+				counters,
+				logDecision: () => undefined,
+			},
+			signal,
+		);
+		const relayedLog = createRelayedLog(log, relay);
 		const shared = { self, log, network, members, clock, counters, logDecision: () => undefined };
 		const termLeader = createTermLeader<MaintainedTerm>({
 			...shared,
+			log: relayedLog,
 			settings,
 			planCache: noPlan,
 			resignation: draining.signal,
 			resignBy: () => resignBy,
 			begin: async (identity, proof, onBlocked, termSignal) => {
-				await takeOverJournal(log, identity.term, () => undefined, onBlocked, termSignal);
+				await takeOverJournal(relayedLog, identity.term, () => undefined, onBlocked, termSignal);
 				const observed = terms.find(({ term }) => term === identity.term);
 				if (observed !== undefined) {
 					observed.begunAt = clock.now();
@@ -260,10 +281,11 @@
 				const writer = createJournalWriter(
 					{
 						...shared,
+						log: relayedLog,
 						term: identity.term,
 						proof,
 						appendEveryMs: 12,
-						onStored: () => undefined,
+						onStored: () => storedAt.push(clock.now()),
 						onFenced: reason => fence(reason),
 					},
 					termSignal,
@@ -304,6 +326,9 @@
 			term: () => undefined,
 			blockedSince: () => termLeader.blockedSince(),
 			planCache: noPlan,
+			log,
+			workerFeed: { snapshot: noEntries, changes: noEntries },
+			signal,
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
 			clock,
 		});
@@ -338,5 +363,5 @@
 		return daemon;
 	};
 
-	return { daemons, terms, start, close: () => controller.abort() };
+	return { daemons, terms, storedAt, start, close: () => controller.abort() };
 }
--- a/packages/coordinator/src/test/peerHandlers.test.ts
+++ b/packages/coordinator/src/test/peerHandlers.test.ts
@@ -1,4 +1,6 @@
 import { describe, expect, it } from 'vitest';
+import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
+import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import type { LeaderIdentity } from '../common/peerProtocol.js';
 import { createPeerHandlers } from '../node/entry/peerHandlers.js';
 import type { LeaderElection } from '../node/leadership/leaderElection.js';
@@ -27,6 +29,9 @@
 			term: () => undefined,
 			blockedSince: () => undefined,
 			planCache: {} as PlanCache,
+			log: {} as LogService,
+			workerFeed: {} as WorkerFeed,
+			signal: new AbortController().signal,
 			isStoreReachable: () => Promise.resolve(true),
 			clock: { now: () => 0, wallNow: () => 0 },
 		});
