--- a/packages/coordinator/src/node/entry/jobSubmission.ts
+++ b/packages/coordinator/src/node/entry/jobSubmission.ts
@@ -1,14 +1,14 @@
-import { JOURNAL_STALL_MS, stallRetryDelay } from '@chestnutwheel/engine/common/jobs/journalStall.js';
+import { JOURNAL_STALL_MS, STALL_RETRY_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
 import type { Submission, SubmitDecision } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { PeerMethods } from '../../common/peerProtocol.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 
-const withdrawn = (stalledForMs: number): SubmitDecision => ({
+const withdrawn: SubmitDecision = {
 	type: 'refused',
 	kind: 'log-unavailable',
 	reason: 'the journal does not store the job at present',
-	retryAfterMs: stallRetryDelay(stalledForMs),
-});
+	retryAfterMs: STALL_RETRY_MS,
+};
 
 /**
  * Submits a job on the leader. The answer is given once the acceptance is stored, or once it is certain that no record of the
@@ -28,9 +28,7 @@
 	if (decision.type === 'refused') {
 		return decision;
 	}
-	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored'
-		? decision
-		: withdrawn(JOURNAL_STALL_MS);
+	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored' ? decision : withdrawn;
 }
 
 /**
@@ -39,5 +37,5 @@
  * @returns `undefined` while the takeover may still succeed soon, so that the caller should wait for it
  */
 export function refuseWhileBlocked(blockedForMs: number): SubmitDecision | undefined {
-	return blockedForMs < JOURNAL_STALL_MS ? undefined : withdrawn(blockedForMs);
+	return blockedForMs < JOURNAL_STALL_MS ? undefined : withdrawn;
 }
--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -15,7 +15,7 @@
 import { remainingCriticalPaths, criticalPathLength } from '../scheduling/criticalPath.js';
 import { effectiveDemand } from '../scheduling/placement.js';
 import { checkJobSpec } from './checkJobSpec.js';
-import { stallRetryDelay } from './journalStall.js';
+import { STALL_RETRY_MS } from './journalStall.js';
 import type { RunTerminator } from './runTerminator.js';
 import type { InternalJobState, Job } from './job.js';
 
@@ -169,12 +169,11 @@
 			}
 			const stalledSince = context.journalStalledSince;
 			if (stalledSince !== undefined) {
-				const stalledForMs = now - stalledSince;
 				return refuse(
 					submission,
 					'log-unavailable',
-					`the journal has stored nothing for ${Math.round(stalledForMs)} ms`,
-					stallRetryDelay(stalledForMs),
+					`the journal has stored nothing for ${Math.round(now - stalledSince)} ms`,
+					STALL_RETRY_MS,
 				);
 			}
 			const retryAfterMs = admissionRetryDelay(submission, queue, now);
