Move service tasks off the hosts of a wave early, and never onto a host that is due

Cause: a step may have only a few of its service tasks away at a time, so that tasks of one step leave hosts one after the other, about one in two seconds. The wave began with hosts without service tasks, and tasks that moved landed on hosts that were due themselves.

Change: service tasks leave the hosts of a wave from its beginning, while the hosts are still in use, as far as a worker outside the wave has room. Placement of service tasks avoids hosts that are due.

--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -1,6 +1,8 @@
+import { fitsInto, subtractResources } from '@chestnutwheel/ports/common/resources.js';
 import type { EngineContext } from '../engineContext.js';
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { Step, Task, TaskRun } from '../jobs/job.js';
+import { countRunsOnWorker, effectiveDemand } from '../scheduling/placement.js';
 import type { WorkerState } from '../workers/workerState.js';
 import type { WorkerTable } from '../workers/workerTable.js';
 
@@ -37,6 +39,11 @@
 export interface Evacuation {
 	/** Stops the service tasks of a worker that may move now. Each of them restarts on another worker. */
 	moveServiceTasks(state: WorkerState, now: number): void;
+	/**
+	 * Stops the service tasks of a worker whose host is due for maintenance and still in use, as far as a worker of its pool
+	 * that is not due has room for them.
+	 */
+	moveServiceTasksEarly(state: WorkerState, dueHosts: ReadonlySet<string>, now: number): void;
 	/** Whether the worker still runs service tasks. */
 	hasServiceTasks(state: WorkerState): boolean;
 	/** Stops tasks that can resume from a checkpoint on another worker. */
@@ -62,19 +69,54 @@
 		);
 	};
 
-	return {
-		moveServiceTasks: (state, now) => {
-			for (const run of state.runs.values()) {
-				if (isServiceRun(run) && run.phase === 'running' && mayMove(state, run, now)) {
-					context.logDecision('task-moves', {
-						task: run.task.name,
-						worker: state.key,
-						away: countUnavailable(run.task.step, run.task, now),
-					});
-					endRuns.stop(run, 'host-leaves');
-				}
+	const moveTasks = (state: WorkerState, hasDestination: (run: TaskRun) => boolean, now: number): void => {
+		for (const run of state.runs.values()) {
+			if (isServiceRun(run) && run.phase === 'running' && mayMove(state, run, now) && hasDestination(run)) {
+				context.logDecision('task-moves', {
+					task: run.task.name,
+					worker: state.key,
+					away: countUnavailable(run.task.step, run.task, now),
+				});
+				endRuns.stop(run, 'host-leaves');
 			}
-		},
+		}
+	};
+
+	/** Whether a worker of the pool that is not due for maintenance can receive a service task. */
+	const hasRoomOutsideWave = ({ task }: TaskRun, pool: string | undefined, dueHosts: ReadonlySet<string>): boolean => {
+		const { spec } = task.step;
+		for (const {
+			entry,
+			key,
+			usedResources,
+			reachability,
+			isListed,
+			isCordoned,
+			hasEnded,
+		} of context.workers.newest()) {
+			if (
+				entry?.pool === pool &&
+				entry !== undefined &&
+				!entry.isDraining &&
+				!dueHosts.has(entry.host) &&
+				isListed &&
+				!isCordoned &&
+				!hasEnded &&
+				reachability === 'answering' &&
+				fitsInto(effectiveDemand(spec), subtractResources(entry.resources, usedResources)) &&
+				(spec.requiredLabel === undefined || entry.labels.includes(spec.requiredLabel)) &&
+				(spec.maximumPerWorker === undefined || countRunsOnWorker(task.step, key) < spec.maximumPerWorker)
+			) {
+				return true;
+			}
+		}
+		return false;
+	};
+
+	return {
+		moveServiceTasks: (state, now) => moveTasks(state, () => true, now),
+		moveServiceTasksEarly: (state, dueHosts, now) =>
+			moveTasks(state, run => hasRoomOutsideWave(run, state.entry?.pool, dueHosts), now),
 		hasServiceTasks: state => [...state.runs.values()].some(isServiceRun),
 		stopCheckpointedTasks: state => {
 			for (const run of state.runs.values()) {
--- a/packages/engine/src/common/hosts/hostController.ts
+++ b/packages/engine/src/common/hosts/hostController.ts
@@ -43,7 +43,7 @@
 	const { hosts, workers, settings } = context;
 	const evacuation = createEvacuation(context, endRuns);
 	const orders = createHostOrders(context, evacuation, monitor);
-	const waves = createMaintenanceWaves(context, orders);
+	const waves = createMaintenanceWaves(context, orders, evacuation);
 	const pools = createPoolRebalancer(context, orders);
 	let nextAdvanceAt = 0;
 	let nextListAt = 0;
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -78,6 +78,8 @@
 	readonly waves: Map<number, WaveState>;
 	/** Returns the hosts of a wave whose maintenance is complete. */
 	settledHosts(wave: number): ReadonlySet<string>;
+	/** Returns the hosts of unfinished waves whose maintenance is not complete. */
+	hostsDueForMaintenance(): ReadonlySet<string>;
 	/** Returns the last known order to the host, with its term and time. */
 	lastOrder(host: string): LastHostOrder | undefined;
 	/**
@@ -167,6 +169,16 @@
 		orders,
 		waves,
 		settledHosts,
+		hostsDueForMaintenance: () => {
+			const due = new Set<string>();
+			for (const { wave, reportedState } of waves.values()) {
+				if (reportedState !== 'done') {
+					const settled = settledHosts(wave.wave);
+					wave.hosts.filter(host => !settled.has(host)).forEach(host => due.add(host));
+				}
+			}
+			return due;
+		},
 		lastOrder: host => lastOrders.get(host),
 		addIncompatiblePool: (host, pool) => incompatiblePools.add(`${host} ${pool}`),
 		isIncompatible: (host, pool) => incompatiblePools.has(`${host} ${pool}`),
--- a/packages/engine/src/common/hosts/maintenanceWaves.ts
+++ b/packages/engine/src/common/hosts/maintenanceWaves.ts
@@ -2,6 +2,7 @@
 import type { MaintenanceWave } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { EngineContext } from '../engineContext.js';
+import type { Evacuation } from './evacuation.js';
 import type { HostOrders } from './hostOrders.js';
 import type { WaveState } from './hostRegistry.js';
 
@@ -17,6 +18,9 @@
 /** Largest fraction of a pool's hosts that may be under an order before a wave takes no more of them. */
 const MAXIMUM_POOL_FRACTION = 0.34;
 
+/** Number of hosts whose service tasks are moved at a time before the hosts themselves are chosen. */
+const HOSTS_EVACUATED_EARLY = 8;
+
 /** Time for which a host must be missing from the list before it counts as removed, in milliseconds. */
 const REMOVED_AFTER_MS = 2_000;
 
@@ -38,7 +42,11 @@
 }
 
 /** Creates the component that executes maintenance waves. */
-export function createMaintenanceWaves(context: EngineContext, orders: HostOrders): MaintenanceWaves {
+export function createMaintenanceWaves(
+	context: EngineContext,
+	orders: HostOrders,
+	evacuation: Evacuation,
+): MaintenanceWaves {
 	const { hosts, workers, logDecision: note } = context;
 	const missingSince = new Map<string, number>();
 
@@ -120,6 +128,7 @@
 			reportState(state, 'done');
 			return;
 		}
+		evacuateEarly(candidates, now);
 		const rounds = Math.ceil(candidates.length / Math.max(1, wave.maximumDown));
 		const remainingMs = seenAt + wave.durationMs - now;
 		const isTight = rounds * EXPECTED_HOST_ROUND_MS > remainingMs * TIGHT_TIME_FRACTION;
@@ -142,6 +151,25 @@
 		}
 	};
 
+	/**
+	 * Moves service tasks off the hosts of a wave from its beginning, hosts with few of them first. A step may have only some
+	 * of its tasks away, so that tasks that share a step leave one after the other; begun only once the hosts are chosen, the
+	 * last of them left after the end of the wave.
+	 */
+	const evacuateEarly = (candidates: readonly Candidate[], now: number): void => {
+		const dueHosts = hosts.hostsDueForMaintenance();
+		candidates
+			.filter(({ serviceTaskCount }) => serviceTaskCount > 0)
+			.toSorted((first, second) => first.serviceTaskCount - second.serviceTaskCount)
+			.slice(0, HOSTS_EVACUATED_EARLY)
+			.forEach(({ host }) => {
+				const state = workers.byHost(host.host);
+				if (state !== undefined) {
+					evacuation.moveServiceTasksEarly(state, dueHosts, now);
+				}
+			});
+	};
+
 	const reportState = (state: WaveState, reported: 'running' | 'done'): void => {
 		if (state.reportedState !== reported) {
 			state.reportedState = reported;
--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -230,11 +230,7 @@
 	const isMoving = (host: string): boolean => hosts.orders.get(host)?.action.type === 'move';
 
 	const movable = (standby: ReadonlySet<string>): readonly MovableHost[] => {
-		const due = new Set(
-			[...hosts.waves.values()]
-				.filter(({ reportedState }) => reportedState !== 'done')
-				.flatMap(({ wave }) => wave.hosts.filter(host => !hosts.settledHosts(wave.wave).has(host))),
-		);
+		const due = hosts.hostsDueForMaintenance();
 		const isIdle = (listed: ListedHost, isOff: boolean): boolean => {
 			const state = workers.byHost(listed.host);
 			return state === undefined
--- a/packages/engine/src/common/scheduling/placement.ts
+++ b/packages/engine/src/common/scheduling/placement.ts
@@ -14,6 +14,8 @@
 	readonly state: WorkerState;
 	readonly resources: Resources;
 	readonly rack: string;
+	/** Whether an unfinished maintenance wave will take the host down. */
+	readonly isDueForMaintenance: boolean;
 	/** Penalty for the suspected poor health of the worker, as a share of its resources. */
 	readonly suspicion: number;
 }
@@ -27,6 +29,12 @@
 /** Score penalty per task on a worker that would interfere with the placed task, or the placed task with it. */
 const INTERFERENCE_PENALTY = 0.3;
 
+/**
+ * Score penalty of a service task on a host that a maintenance wave will take down. The task would have to move again, and a
+ * step may have only a few of its tasks away at a time.
+ */
+const DUE_HOST_PENALTY = 1;
+
 /** Returns the resources that a task of the step reserves on its worker; best-effort tasks reserve no processors. */
 export function effectiveDemand(spec: StepSpec): Resources {
 	return spec.fills ? { ...spec.demand, milliCores: 0 } : spec.demand;
@@ -141,7 +149,8 @@
 			worker.suspicion +
 			INTERFERENCE_PENALTY * countInterferingRuns(spec, state) +
 			(task.failedWorkers.includes(state.worker) ? FAILED_WORKER_PENALTY : 0) +
-			(spec.isLasting ? SAME_RACK_PENALTY * countRunsInRack(step, rack, options.rackOf) : 0);
+			(spec.isLasting ? SAME_RACK_PENALTY * countRunsInRack(step, rack, options.rackOf) : 0) +
+			(spec.isLasting && worker.isDueForMaintenance ? DUE_HOST_PENALTY : 0);
 		if (score < bestScore) {
 			best = worker;
 			bestScore = score;
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -56,7 +56,7 @@
 
 	const rackOf = (workerKey: string): string | undefined => rackOfWorker(workers.get(workerKey));
 
-	const schedulableWorkers = (pool: string, now: number): SchedulableWorker[] => {
+	const schedulableWorkers = (pool: string, dueHosts: ReadonlySet<string>, now: number): SchedulableWorker[] => {
 		const open: SchedulableWorker[] = [];
 		const quarantined: SchedulableWorker[] = [];
 		for (const state of workers.newest()) {
@@ -78,6 +78,7 @@
 				state,
 				resources: entry.resources,
 				rack: rackOfWorker(state) ?? '',
+				isDueForMaintenance: dueHosts.has(entry.host),
 				suspicion: suspicion.loadPenalty,
 			};
 			const avoidUntil = Math.max(state.avoidUntil, suspicion.quarantinedUntil);
@@ -318,8 +319,9 @@
 					known.push(step);
 				}
 			}
+			const dueHosts = context.hosts.hostsDueForMaintenance();
 			for (const [pool, steps] of byPool) {
-				const open = schedulableWorkers(pool, now);
+				const open = schedulableWorkers(pool, dueHosts, now);
 				if (open.length > 0) {
 					schedulePool(steps, open, now);
 				}
