--- a/packages/coordinator/src/node/relay/storeRelay.ts
+++ b/packages/coordinator/src/node/relay/storeRelay.ts
@@ -51,7 +51,7 @@
 export function createStoreRelay(options: StoreRelayOptions, signal: AbortSignal): StoreRelay {
 	const { network, probe, clock, counters, logDecision } = options;
 	let relayedSince: number | undefined;
-	/** Whether a follower has been served since direct calls fail. It is not when the store serves nobody. */
+	/** Whether a follower has been served since direct calls fail. It is not while the store serves no daemon at all. */
 	let hasRelayed = false;
 	let relay: PeerConnection | undefined;
 	let turn = 0;
