Log what a stop of a service task and an order to a host rest on

Cause: the lines task-moves and host-ordered could not tell the hypotheses of the availability incident apart. They did not say whether the stopped task was ready, how old the view of its worker and the term were, nor what ran on the host when the order was sent, which may be seconds after it was emptied. Change: task-moves has the limit of the step, the availability of the task, the age of the worker's last answer and of the term; host-order-sent is new and names the worker now on the host and whether service tasks run there. Ruled out: nothing yet.

--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -74,8 +74,14 @@
 			if (isServiceRun(run) && run.phase === 'running' && mayMove(state, run, now) && hasDestination(run)) {
 				context.logDecision('task-moves', {
 					task: run.task.name,
+					run: run.run,
 					worker: state.key,
 					away: countUnavailable(run.task.step, run.task, now),
+					maximumAway: run.task.step.spec.maximumAway,
+					availability: taskAvailability(run.task, context.workers, now),
+					answerAgeMs: Math.round(now - (state.lastAnswerAt ?? context.termBeganAt)),
+					termAgeMs: Math.round(now - context.termBeganAt),
+					isDraining: state.entry?.isDraining ?? false,
 				});
 				endRuns.stop(run, 'host-leaves');
 			}
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -115,11 +115,22 @@
 		note('host-ordered', { host, ...action, emptiedInMs: Math.round(now - order.startedAt) });
 		const orderedAt = Math.round(context.wallNow());
 		context.record({ type: 'host-ordered', order: { host, action, term: context.term ?? 0, orderedAt } }, now);
-		send(order);
+		send(order, now);
 	};
 
-	const send = (order: HostOrder): void => {
+	const send = (order: HostOrder, now: number): void => {
 		order.isInFlight = true;
+		const state = workerOnHost(order.host);
+		note('host-order-sent', {
+			host: order.host,
+			...order.action,
+			worker: state?.key,
+			endsWorker: order.workerKey,
+			serviceTasks: state !== undefined && evacuation.hasServiceTasks(state),
+			runs: state?.runs.size ?? 0,
+			isRetry: order.isRetry,
+			waitedMs: Math.round(now - order.phaseSince),
+		});
 		context.emitWhenStored({ type: 'host-order', host: order.host, action: order.action });
 	};
 
@@ -195,7 +206,7 @@
 			return;
 		}
 		if (!order.isInFlight && now >= order.notBefore) {
-			send(order);
+			send(order, now);
 		}
 	};
 
