--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -5,7 +5,7 @@
 import type { Resources } from '@chestnutwheel/ports/common/resources.js';
 import type { ListedEnd, ListedRun, RunEnd, WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
 import { createEngine, type Engine } from '../common/engine.js';
-import type { EngineEffect, DecisionLogger, SubmitDecision } from '../common/engineMessages.js';
+import type { EngineEffect, EngineOutput, DecisionLogger, SubmitDecision } from '../common/engineMessages.js';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
 import { modelSettings } from './modelSettings.js';
 
@@ -89,8 +89,8 @@
 	readonly journal: readonly JournalEvent[];
 	/** Returns the effects emitted since the last call, and clears them. */
 	takeEffects(): readonly EngineEffect[];
-	/** Adds a host with a worker that answers polls. */
-	addWorker(name: string, pool: string, entry?: Partial<WorkerEntry>): HarnessWorker;
+	/** Adds a host with a worker that answers polls. @param running runs that the worker lists from its first answer */
+	addWorker(name: string, pool: string, entry?: Partial<WorkerEntry>, running?: readonly ListedRun[]): HarnessWorker;
 	/** Adds the entry of a worker that never answers, as one that is left after its host was moved. */
 	addUnreachableWorker(name: string, host: string, pool: string): void;
 	/** Polls the worker, which answers with its runs and ends. */
@@ -103,6 +103,8 @@
 	endRun(worker: HarnessWorker, task: string, end: RunEnd): void;
 	listHosts(hosts: readonly Partial<ListedHost>[]): void;
 	submit(id: string, queue: string, spec: JobSpec): SubmitDecision;
+	/** Determines whether the journal stores batches. Effects that wait for the journal are not emitted meanwhile. */
+	setJournalAvailable(isAvailable: boolean): void;
 	/** Advances the clock in ticks; workers are polled every 100 ms. */
 	advance(milliseconds: number): void;
 }
@@ -141,18 +143,29 @@
 	const silentWorkers = new Set<HarnessWorker>();
 	const journal: JournalEvent[] = [];
 	let effects: EngineEffect[] = [];
+	const unstoredOutputs: EngineOutput[] = [];
+	let isJournalAvailable = true;
 
 	const workerKeyOf = ({ name }: HarnessWorker): string => `${name}@1`;
 
 	const flush = (): void => {
 		for (;;) {
-			const { events, batch, effectsWhenStored, immediateEffects } = engine.takeOutput();
-			effects.push(...immediateEffects, ...effectsWhenStored);
-			if (events.length === 0) {
+			const output = engine.takeOutput();
+			effects.push(...output.immediateEffects);
+			unstoredOutputs.push(output);
+			if (!isJournalAvailable) {
+				return;
+			}
+			for (const { events, batch, effectsWhenStored } of unstoredOutputs.splice(0)) {
+				effects.push(...effectsWhenStored);
+				if (events.length > 0) {
+					journal.push(...events);
+					engine.batchStored(batch, journal.length - events.length, now);
+				}
+			}
+			if (output.events.length === 0) {
 				return;
 			}
-			journal.push(...events);
-			engine.batchStored(batch, journal.length - events.length, now);
 		}
 	};
 
@@ -191,8 +204,14 @@
 			effects = [];
 			return taken;
 		},
-		addWorker: (name, pool, entry = {}) => {
-			const worker: HarnessWorker = { name, host: `host-${name}`, pool, running: new Map(), ended: [] };
+		addWorker: (name, pool, entry = {}, running = []) => {
+			const worker: HarnessWorker = {
+				name,
+				host: entry.host ?? `host-${name}`,
+				pool,
+				running: new Map(running.map(run => [run.task, run])),
+				ended: [],
+			};
 			workers.set(workerKeyOf(worker), worker);
 			const value: WorkerEntry = {
 				...defaultWorkerEntry,
@@ -226,6 +245,10 @@
 				silentWorkers.delete(worker);
 			}
 		},
+		setJournalAvailable: isAvailable => {
+			isJournalAvailable = isAvailable;
+			flush();
+		},
 		pollWorker,
 		confirmStarts: () => {
 			let count = 0;
