Count a starting service task like any other before it is stopped

What callers saw: a daemon ended a task of a lasting service while as many others of its step were away as may be (AVAIL). Cause: a task whose newest list showed it as starting could be stopped without a look at the others, since a task that is not ready is not missed. A worker that runs service tasks only is polled once a second, so the task may have been ready for most of a second. Tasks that lose their worker together start together, often on one host; when that host was due in a wave, all were stopped at once. Why it works: the exception is gone; a stop is decided only if the others that are not known to be ready are fewer than the limit. Ruled out: several stops in one pass (a stopped run counts as away at once).

--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -58,13 +58,15 @@
 	const countUnavailable = (step: Step, task: Task, now: number): number =>
 		step.tasks.filter(other => other !== task && taskAvailability(other, context.workers, now) !== 'at-work').length;
 
-	/** Checks the step's limit on unavailable tasks. A worker that drains by itself cannot be held back by it. */
+	/**
+	 * Checks the step's limit on unavailable tasks. A worker that drains by itself cannot be held back by it. A task that is
+	 * listed as starting is no exception: it may be ready by the time its stop arrives.
+	 */
 	const mayMove = (state: WorkerState, { task }: TaskRun, now: number): boolean => {
 		const { maximumAway } = task.step.spec;
 		return (
 			maximumAway === undefined ||
 			state.entry?.isDraining === true ||
-			taskAvailability(task, context.workers, now) === 'starting' ||
 			countUnavailable(task.step, task, now) < maximumAway
 		);
 	};
