Judge whether service tasks are ready by the age of the list of runs

Cause: a list of runs counted as recent if the worker had answered any call in the last 1.7 s. Answers to starts and stops say nothing about the runs, so with polls unanswered on a dead connection an old list stayed valid. Why it works: only the arrival of a list sets the time that taskAvailability compares.

--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -10,8 +10,8 @@
 const READY_PERCENT = 100;
 
 /**
- * Age beyond which the last answer of a worker no longer proves that its tasks are running, in milliseconds. A poll
- * waits for at most one second.
+ * Age beyond which the list of a worker's runs no longer proves that its tasks are running, in milliseconds. A poll waits
+ * for at most one second.
  */
 const MAXIMUM_LISTING_AGE_MS = 1_700;
 
@@ -25,8 +25,8 @@
 		const isListingRecent =
 			state?.reachability === 'answering' &&
 			!state.hasEnded &&
-			state.lastAnswerAt !== undefined &&
-			now - state.lastAnswerAt < MAXIMUM_LISTING_AGE_MS;
+			state.lastListedAt !== undefined &&
+			now - state.lastListedAt < MAXIMUM_LISTING_AGE_MS;
 		if (!isListingRecent || run.phase !== 'running') {
 			return 'unsure';
 		}
@@ -81,7 +81,7 @@
 					away: countUnavailable(run.task.step, run.task, now),
 					maximumAway: run.task.step.spec.maximumAway,
 					availability: taskAvailability(run.task, context.workers, now),
-					answerAgeMs: Math.round(now - (state.lastAnswerAt ?? context.termBeganAt)),
+					listAgeMs: Math.round(now - (state.lastListedAt ?? context.termBeganAt)),
 					termAgeMs: Math.round(now - context.termBeganAt),
 					isDraining: state.entry?.isDraining ?? false,
 				});
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -193,6 +193,7 @@
 			return;
 		}
 		recordAnswer(state, listing.clockMs, now);
+		state.lastListedAt = now;
 		applyListing(state, listing, now);
 	};
 
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -50,6 +50,8 @@
 	leaseEndsBy: number;
 	/** Time of the last successful call to the worker. */
 	lastAnswerAt: number | undefined;
+	/** Time at which the newest list of the worker's runs arrived. Other answers say nothing about the runs. */
+	lastListedAt: number | undefined;
 	/** Time of the first unanswered call since the last answer; `undefined` after an answer. */
 	unreachableSince: number | undefined;
 	/** Runs that may be running on the worker, by {@link runKey}. */
@@ -100,6 +102,7 @@
 		clock: undefined,
 		leaseEndsBy: 0,
 		lastAnswerAt: undefined,
+		lastListedAt: undefined,
 		unreachableSince: undefined,
 		runs: new Map(),
 		orphanedRuns: new Map(),
