--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -72,6 +72,10 @@
 	};
 
 	const moveTasks = (state: WorkerState, hasDestination: (run: TaskRun) => boolean, now: number): void => {
+		if (context.journalStalledSince !== undefined) {
+			// The tasks could not start elsewhere, since a start is stored before it is sent.
+			return;
+		}
 		for (const run of state.runs.values()) {
 			if (isServiceRun(run) && run.phase === 'running' && mayMove(state, run, now) && hasDestination(run)) {
 				context.logDecision('task-moves', {
--- a/packages/engine/src/test/serviceAvailability.test.ts
+++ b/packages/engine/src/test/serviceAvailability.test.ts
@@ -121,6 +121,19 @@
 		harness.advance(100);
 		expect(stoppedTasks(harness)).toEqual([task]);
 	});
+
+	// Tasks that were stopped while the journal stalled could not start elsewhere before it stored batches again.
+	it('stops no task while the journal stalls', () => {
+		const { harness, serving } = createServingFleet();
+		const [leaving] = serving;
+		harness.engine.journalStalled(harness.now);
+		addWave(harness, leaving);
+		harness.advance(500);
+		expect(stoppedTasks(harness)).toEqual([]);
+		harness.engine.journalStalled(undefined);
+		harness.advance(100);
+		expect(stoppedTasks(harness)).toHaveLength(1);
+	});
 });
 
 describe('a leader takes over while its predecessor stops a service task', () => {
