Wait for the stops of the former leader before service tasks count as ready

What callers would see: after a change of leader, a second service task of a step is ended while one is away (AVAIL). Cause: a worker lists a stopped run as running until it has ended, up to 0.4 s or 0.9 s later as the platform states. A leader that took over in that time counted the task as ready and stopped another one of its step. Change: the list of a worker proves that an inherited run is ready only if the worker took it later than its first answer of this term, from which on it refuses orders of earlier terms, by more than the time that a stop takes (bounds.stop-ms, on the worker's clock, which runs at most slower than real time). Ruled out: one wait for the whole fleet from the beginning of the term, since a worker that is reached later is fenced later.

--- a/packages/engine/src/common/engineMessages.ts
+++ b/packages/engine/src/common/engineMessages.ts
@@ -12,6 +12,8 @@
 	readonly startWindowMs: number;
 	/** Time for which a leader may renew leases after its leadership was last confirmed. */
 	readonly validMs: number;
+	/** Longest time for which a run that was ordered to stop continues; specified by the platform. */
+	readonly stopMs: number;
 	/** Time within which two leaders must not both send orders for the same host; specified by the platform. */
 	readonly hostLeaseMs: number;
 	/** Retention period of the state of an ended job. */
--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -4,7 +4,6 @@
 import type { Step, Task, TaskRun } from '../jobs/job.js';
 import { countRunsOnWorker, effectiveDemand } from '../scheduling/placement.js';
 import type { WorkerState } from '../workers/workerState.js';
-import type { WorkerTable } from '../workers/workerTable.js';
 
 /** Progress at which a service task counts as ready, in percent. */
 const READY_PERCENT = 100;
@@ -18,16 +17,32 @@
 /** Availability of a service task: ready, still starting, or not known for certain. */
 type TaskAvailability = 'at-work' | 'starting' | 'unsure';
 
+/** Whether a former leader may have ordered the run to stop without its end being in the worker's newest list. */
+function mayBeStopping(
+	{ startByMs }: TaskRun,
+	{ fencedClockMs, lastListedClockMs }: WorkerState,
+	stopMs: number,
+): boolean {
+	const isInherited = startByMs === 0;
+	return isInherited && (lastListedClockMs ?? 0) <= (fencedClockMs ?? Infinity) + stopMs;
+}
+
 /** Determines the availability of a service task from its runs. Outdated listings of a worker prove nothing. */
-export function taskAvailability(task: Task, workers: WorkerTable, now: number): TaskAvailability {
+export function taskAvailability(
+	task: Task,
+	{ workers, settings }: Pick<EngineContext, 'workers' | 'settings'>,
+	now: number,
+): TaskAvailability {
 	const availabilities = task.runs.map((run): TaskAvailability => {
 		const state = workers.get(run.workerKey);
-		const isListingRecent =
-			state?.reachability === 'answering' &&
-			!state.hasEnded &&
-			state.lastListedAt !== undefined &&
-			now - state.lastListedAt < MAXIMUM_LISTING_AGE_MS;
-		if (!isListingRecent || run.phase !== 'running') {
+		if (
+			run.phase !== 'running' ||
+			state?.reachability !== 'answering' ||
+			state.hasEnded ||
+			state.lastListedAt === undefined ||
+			now - state.lastListedAt >= MAXIMUM_LISTING_AGE_MS ||
+			mayBeStopping(run, state, settings.stopMs)
+		) {
 			return 'unsure';
 		}
 		return run.percent >= READY_PERCENT ? 'at-work' : 'starting';
@@ -56,7 +71,7 @@
 
 	/** Counts the other service tasks of a step that are unavailable for any reason. */
 	const countUnavailable = (step: Step, task: Task, now: number): number =>
-		step.tasks.filter(other => other !== task && taskAvailability(other, context.workers, now) !== 'at-work').length;
+		step.tasks.filter(other => other !== task && taskAvailability(other, context, now) !== 'at-work').length;
 
 	/**
 	 * Checks the step's limit on unavailable tasks. A worker that drains by itself cannot be held back by it. A task that is
@@ -84,7 +99,7 @@
 					worker: state.key,
 					away: countUnavailable(run.task.step, run.task, now),
 					maximumAway: run.task.step.spec.maximumAway,
-					availability: taskAvailability(run.task, context.workers, now),
+					availability: taskAvailability(run.task, context, now),
 					listAgeMs: Math.round(now - (state.lastListedAt ?? context.termBeganAt)),
 					termAgeMs: Math.round(now - context.termBeganAt),
 					isDraining: state.entry?.isDraining ?? false,
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -124,6 +124,7 @@
 	const recordAnswer = (state: WorkerState, clockMs: number | undefined, now: number): void => {
 		state.lastAnswerAt = now;
 		state.unreachableSince = undefined;
+		state.fencedClockMs ??= clockMs;
 		if (clockMs !== undefined && clockMs >= (state.clock?.clockMs ?? 0)) {
 			state.clock = { clockMs, readAt: now };
 		}
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -194,6 +194,7 @@
 		}
 		recordAnswer(state, listing.clockMs, now);
 		state.lastListedAt = now;
+		state.lastListedClockMs = listing.clockMs;
 		applyListing(state, listing, now);
 	};
 
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -46,12 +46,16 @@
 	reachability: Reachability;
 	/** Newest reading of the worker's clock and the local time of its arrival. */
 	clock: { readonly clockMs: number; readonly readAt: number } | undefined;
+	/** Worker's clock in its first answer of this term. From then on it refuses orders of earlier terms. */
+	fencedClockMs: number | undefined;
 	/** Time by which the leases of all runs on the worker have expired unless the worker is reached before. */
 	leaseEndsBy: number;
 	/** Time of the last successful call to the worker. */
 	lastAnswerAt: number | undefined;
 	/** Time at which the newest list of the worker's runs arrived. Other answers say nothing about the runs. */
 	lastListedAt: number | undefined;
+	/** Worker's clock in that list. */
+	lastListedClockMs: number | undefined;
 	/** Time of the first unanswered call since the last answer; `undefined` after an answer. */
 	unreachableSince: number | undefined;
 	/** Runs that may be running on the worker, by {@link runKey}. */
@@ -100,9 +104,11 @@
 		hasEnded: false,
 		reachability: 'unknown',
 		clock: undefined,
+		fencedClockMs: undefined,
 		leaseEndsBy: 0,
 		lastAnswerAt: undefined,
 		lastListedAt: undefined,
+		lastListedClockMs: undefined,
 		unreachableSince: undefined,
 		runs: new Map(),
 		orphanedRuns: new Map(),
--- a/packages/engine/src/test/modelSettings.ts
+++ b/packages/engine/src/test/modelSettings.ts
@@ -10,6 +10,7 @@
 	longestLeaseMs: MODEL_LONGEST_LEASE_MS,
 	startWindowMs: 1_000,
 	validMs: MODEL_LEADERSHIP_VALID_MS,
+	stopMs: 400,
 	hostLeaseMs: 3_000,
 	stateKeptMs: 60_000,
 	rewriteAfterMs: 4_000,
