--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -37,7 +37,11 @@
 		counters.add('runs_stopped_total', { reason });
 		const effect = { type: 'stop', workerKey: run.workerKey, task: run.task.name, run: run.run } as const;
 		// Whether a run may leave its host depends on the other runs of its step now; they may be lost while the journal stalls.
-		(reason === 'host-leaves' ? context.emitNow : context.emitWhenStored)(effect);
+		if (reason === 'host-leaves') {
+			context.emitNow(effect);
+		} else {
+			context.emitWhenStored(effect);
+		}
 	};
 
 	const stopJob = (job: Job, reason: StopReason): void => {
