Keep work off a host until its order is carried out, whichever worker runs there

Cause: the mark that keeps tasks away belonged to the worker that the host had when it was emptied. The worker restarted while the host service refused or did not answer, tasks were placed on the new incarnation, and the order ended them. Change: whether a worker is cordoned follows from the order to its host: every incarnation until the host service has accepted the order, afterwards the one that the order ends. The mark in the state of the worker is gone. Ruled out: a look at the worker before each sending alone, since a task may be placed between the look and the order.

--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -112,22 +112,15 @@
 	/** Whether a worker of the pool that is not due for maintenance can receive a service task. */
 	const hasRoomOutsideWave = ({ task }: TaskRun, pool: string | undefined, dueHosts: ReadonlySet<string>): boolean => {
 		const { spec } = task.step;
-		for (const {
-			entry,
-			key,
-			usedResources,
-			reachability,
-			isListed,
-			isCordoned,
-			hasEnded,
-		} of context.workers.newest()) {
+		for (const state of context.workers.newest()) {
+			const { entry, key, usedResources, reachability, isListed, hasEnded } = state;
 			if (
 				entry?.pool === pool &&
 				entry !== undefined &&
 				!entry.isDraining &&
 				!dueHosts.has(entry.host) &&
 				isListed &&
-				!isCordoned &&
+				!context.hosts.isCordoned(state) &&
 				!hasEnded &&
 				reachability === 'answering' &&
 				fitsInto(effectiveDemand(spec), subtractResources(entry.resources, usedResources)) &&
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -78,14 +78,6 @@
 		order.phaseSince = now;
 	};
 
-	const uncordon = (host: string): void => {
-		const state = workers.byHost(host);
-		if (state !== undefined) {
-			state.isCordoned = false;
-		}
-		context.needsSchedulingPass = true;
-	};
-
 	const settle = (order: HostOrder, isDone: boolean, reason: string, now: number): void => {
 		note('host-settled', {
 			host: order.host,
@@ -102,7 +94,7 @@
 				order.acceptedAt === undefined ? undefined : ([order.host, context.term ?? 0, order.acceptedAt] as const);
 			context.record({ type: 'host-settled', host: order.host, action: order.action, isDone, last }, now);
 		}
-		uncordon(order.host);
+		context.needsSchedulingPass = true;
 	};
 
 	const journalOrder = (order: HostOrder, now: number): void => {
@@ -121,6 +113,10 @@
 	const send = (order: HostOrder, now: number): void => {
 		order.isInFlight = true;
 		const state = workerOnHost(order.host);
+		if (!order.isRetry) {
+			// The worker may have restarted since the order was journaled.
+			order.workerKey = state?.key;
+		}
 		note('host-order-sent', {
 			host: order.host,
 			...order.action,
@@ -171,7 +167,6 @@
 			}
 			return;
 		}
-		state.isCordoned = true;
 		evacuation.moveServiceTasks(state, now);
 		const waited = now - order.startedAt;
 		if (evacuation.hasServiceTasks(state)) {
@@ -312,10 +307,6 @@
 			}
 			note('host-chosen', { host, ...action });
 			hosts.orders.set(host, createHostOrder(host, action, false, now));
-			const state = workerOnHost(host);
-			if (state !== undefined) {
-				state.isCordoned = true;
-			}
 			return true;
 		},
 		handleAnswer: (host, answer, now) => {
@@ -328,10 +319,6 @@
 		takeOver: now => {
 			for (const order of hosts.orders.values()) {
 				order.phaseSince = now;
-				const state = workerOnHost(order.host);
-				if (state !== undefined) {
-					state.isCordoned = true;
-				}
 			}
 		},
 		advance: now => {
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -1,6 +1,7 @@
 import type { MaintenanceWave } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { HostAction, HostEvent, LastHostOrder, PendingHostOrder, WaveProgress } from '../jobs/journalEvent.js';
+import type { WorkerState } from '../workers/workerState.js';
 
 /** Phase of an order to a host. */
 export type HostOrderPhase =
@@ -75,6 +76,11 @@
 	/** Time when the newest list was requested. The list is at least as recent. */
 	readonly listRequestedAt: number | undefined;
 	readonly orders: Map<string, HostOrder>;
+	/**
+	 * Whether an order to its host keeps new work away from a worker. Until the host service has accepted the order, that
+	 * holds for every incarnation, since a worker may restart before the order is carried out.
+	 */
+	isCordoned(worker: Pick<WorkerState, 'key' | 'entry'>): boolean;
 	readonly waves: Map<number, WaveState>;
 	/** Returns the hosts of a wave whose maintenance is complete. */
 	settledHosts(wave: number): ReadonlySet<string>;
@@ -167,6 +173,10 @@
 			return listRequestedAt;
 		},
 		orders,
+		isCordoned: ({ key, entry }) => {
+			const order = entry === undefined ? undefined : orders.get(entry.host);
+			return order !== undefined && (order.phase !== 'away' || order.workerKey === key);
+		},
 		waves,
 		settledHosts,
 		hostsDueForMaintenance: () => {
--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -150,7 +150,7 @@
 		state.isListed &&
 		!state.hasEnded &&
 		!state.entry.isDraining &&
-		!state.isCordoned &&
+		!hosts.isCordoned(state) &&
 		state.reachability !== 'silent';
 
 	/**
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -66,7 +66,7 @@
 				!state.isListed ||
 				state.hasEnded ||
 				entry.isDraining ||
-				state.isCordoned ||
+				context.hosts.isCordoned(state) ||
 				state.reachability !== 'answering' ||
 				state.clock === undefined ||
 				hasUnresolvedStart(state)
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -74,8 +74,6 @@
 	unansweredStarts: readonly UnansweredStart[];
 	/** Time before which no new work is placed on the worker. */
 	avoidUntil: number;
-	/** Whether an order to its host keeps new work away from the worker. */
-	isCordoned: boolean;
 	/** Recent outcomes of runs, newest last. */
 	readonly outcomes: RunOutcome[];
 }
@@ -118,7 +116,6 @@
 		blockedStarts: new Map(),
 		unansweredStarts: [],
 		avoidUntil: 0,
-		isCordoned: false,
 		outcomes: [],
 	};
 }
