Repeat the unanswered stop of a service task only while its step allows it

What callers would see: a service task is ended seconds after its stop was decided, when another task of its step has been lost since (AVAIL). Cause: a stop without an answer was sent up to eight times, over some 25 s, by time alone. The worker carries out whichever of them reaches it, and the answer to an order on a connection that is dead or held up comes to nothing. Change: before it sends such a stop again, the daemon asks the engine, which applies the step's limit anew. Stops of cancelled jobs, ended gangs and orphaned runs are repeated as before. Ruled out: giving the stop up after the first attempt, since the run then counts as away for good while it is at work.

--- a/packages/coordinator/src/node/leader/workerOrders.ts
+++ b/packages/coordinator/src/node/leader/workerOrders.ts
@@ -20,9 +20,12 @@
 /** Initial back-off before an unanswered stop is retried; it doubles with each attempt. */
 const STOP_RETRY_DELAY_MS = 100;
 
+/** Interval between two looks at whether a stop may be retried. */
+const STOP_RECHECK_INTERVAL_MS = 100;
+
 /** Options of {@link createWorkerOrders}. */
 export interface WorkerOrdersOptions {
-	readonly engine: Engine;
+	readonly engine: Pick<Engine, 'monitor' | 'mayRepeatStop' | 'term'>;
 	readonly workers: WorkerService;
 	readonly clock: Clock;
 	readonly counters: Counters;
@@ -69,6 +72,12 @@
 		}
 	};
 
+	const untilRepeatable = async (workerKey: string, task: string, run: number): Promise<void> => {
+		while (!signal.aborted && !engine.mayRepeatStop(workerKey, task, run, clock.now())) {
+			await delay(STOP_RECHECK_INTERVAL_MS, signal);
+		}
+	};
+
 	const sendStop = async ({ workerKey, task, run }: StopEffect): Promise<void> => {
 		const address = addresses.get(workerKey);
 		const fence = engine.term;
@@ -83,6 +92,7 @@
 				return;
 			}
 			await delay(STOP_RETRY_DELAY_MS * 2 ** attempt, signal);
+			await untilRepeatable(workerKey, task, run);
 		}
 	};
 
--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -47,6 +47,8 @@
 	hostsListed(hosts: readonly ListedHost[] | undefined, now: number): void;
 	/** Applies the answer to an order for a host; `not-sent` when the order was never sent. */
 	hostOrderAnswered(host: string, answer: HostOrderOutcome | { readonly type: 'not-sent' }, now: number): void;
+	/** Whether the stop of a run that got no answer may be sent again now. */
+	mayRepeatStop(workerKey: string, task: string, run: number, now: number): boolean;
 	/** Whether a host with a pending order is due to return soon with a worker that has no known entry yet. */
 	expectsWorker(now: number): boolean;
 	/**
@@ -152,6 +154,7 @@
 		wavesChanged: (waves, now) => hostMaintenance.addWaves(waves, now),
 		hostsListed: (list, now) => hostMaintenance.handleHostList(list, now),
 		hostOrderAnswered: (host, answer, now) => hostMaintenance.handleOrderAnswer(host, answer, now),
+		mayRepeatStop: (workerKey, task, run, now) => hostMaintenance.mayRepeatStop(workerKey, task, run, now),
 		expectsWorker: now => hostMaintenance.expectsWorker(now),
 		batchStored: (batch, offset, now) => {
 			context.lastStoredBatch = Math.max(context.lastStoredBatch, batch);
--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -3,7 +3,7 @@
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { Step, Task, TaskRun } from '../jobs/job.js';
 import { countRunsOnWorker, effectiveDemand } from '../scheduling/placement.js';
-import type { WorkerState } from '../workers/workerState.js';
+import { runKey, type WorkerState } from '../workers/workerState.js';
 
 /** Progress at which a service task counts as ready, in percent. */
 const READY_PERCENT = 100;
@@ -59,6 +59,8 @@
 	 * that is not due has room for them.
 	 */
 	moveServiceTasksEarly(state: WorkerState, dueHosts: ReadonlySet<string>, now: number): void;
+	/** Whether a stop that got no answer may be sent again: the other tasks of its step may have been lost since. */
+	mayRepeatStop(workerKey: string, task: string, run: number, now: number): boolean;
 	/** Whether the worker still runs service tasks. */
 	hasServiceTasks(state: WorkerState): boolean;
 	/** Stops tasks that can resume from a checkpoint on another worker. */
@@ -137,6 +139,14 @@
 		moveServiceTasks: (state, now) => moveTasks(state, () => true, now),
 		moveServiceTasksEarly: (state, dueHosts, now) =>
 			moveTasks(state, run => hasRoomOutsideWave(run, state.entry?.pool, dueHosts), now),
+		mayRepeatStop: (workerKey, task, runNumber, now) => {
+			const state = context.workers.get(workerKey);
+			const run = state?.runs.get(runKey(task, runNumber));
+			if (state === undefined || run?.stopReason !== 'host-leaves') {
+				return true;
+			}
+			return run.task.step.occurrence.job.state !== 'open' || mayMove(state, run, now);
+		},
 		hasServiceTasks: state => [...state.runs.values()].some(isServiceRun),
 		stopCheckpointedTasks: state => {
 			for (const run of state.runs.values()) {
--- a/packages/engine/src/common/hosts/hostController.ts
+++ b/packages/engine/src/common/hosts/hostController.ts
@@ -3,7 +3,7 @@
 import type { EngineContext } from '../engineContext.js';
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { WorkerMonitor } from '../workers/workerMonitor.js';
-import { createEvacuation } from './evacuation.js';
+import { createEvacuation, type Evacuation } from './evacuation.js';
 import { createHostOrders } from './hostOrders.js';
 import { createMaintenanceWaves } from './maintenanceWaves.js';
 import { createPoolRebalancer } from '../pools/poolRebalancer.js';
@@ -26,6 +26,8 @@
 	handleHostList(list: readonly ListedHost[] | undefined, now: number): void;
 	handleOrderAnswer(host: string, answer: HostOrderOutcome | { readonly type: 'not-sent' }, now: number): void;
 	takeOver(now: number): void;
+	/** Whether a stop that got no answer may be sent again. */
+	readonly mayRepeatStop: Evacuation['mayRepeatStop'];
 	/** Whether the worker of a returning host is expected to be listed soon. */
 	expectsWorker(now: number): boolean;
 	tick(now: number): void;
@@ -86,6 +88,7 @@
 		},
 		handleOrderAnswer: (host, answer, now) => orders.handleAnswer(host, answer, now),
 		takeOver: now => orders.takeOver(now),
+		mayRepeatStop: (workerKey, task, run, now) => evacuation.mayRepeatStop(workerKey, task, run, now),
 		expectsWorker: now =>
 			[...hosts.orders.values()].some(
 				({ phase, phaseSince }) => phase === 'away' && now > phaseSince + MINIMUM_AWAY_MS,
--- a/packages/engine/src/test/serviceAvailability.test.ts
+++ b/packages/engine/src/test/serviceAvailability.test.ts
@@ -122,6 +122,37 @@
 		expect(stoppedTasks(harness)).toEqual([task]);
 	});
 
+	// A stop that got no answer was sent again for many seconds, also when another task of the step had been lost meanwhile.
+	it('does not repeat an unanswered stop while another task of the step is away', () => {
+		const { harness, serving } = createServingFleet();
+		const [leaving, lost] = serving;
+		const { task, run } = serviceTaskOn(leaving);
+		const other = serviceTaskOn(lost).task;
+		addWave(harness, leaving);
+		harness.advance(100);
+		expect(stoppedTasks(harness)).toEqual([task]);
+		const mayRepeat = (): boolean => harness.engine.mayRepeatStop(`${leaving.name}@1`, task, run, harness.now);
+		expect(mayRepeat()).toBe(true);
+		harness.endRun(lost, other, 'failed');
+		expect(mayRepeat()).toBe(false);
+		harness.advance(1_100);
+		harness.confirmStarts();
+		harness.advance(200);
+		expect(mayRepeat()).toBe(true);
+	});
+
+	// A cancelled job has to stop in time, however many of its tasks are away.
+	it('repeats an unanswered stop of a cancelled job while other tasks of the step are away', () => {
+		const { harness, serving } = createServingFleet();
+		const [leaving, lost] = serving;
+		const { task, run } = serviceTaskOn(leaving);
+		addWave(harness, leaving);
+		harness.advance(100);
+		harness.endRun(lost, serviceTaskOn(lost).task, 'failed');
+		harness.engine.cancel('service', undefined, harness.now);
+		expect(harness.engine.mayRepeatStop(`${leaving.name}@1`, task, run, harness.now)).toBe(true);
+	});
+
 	// Tasks that were stopped while the journal stalled could not start elsewhere before it stored batches again.
 	it('stops no task while the journal stalls', () => {
 		const { harness, serving } = createServingFleet();
