Log what ran on a worker at its end, and what it had not listed yet

Cause: the line run-lost could not tell the task that crashed its worker from those beside it, nor a crash from the end of a worker that was drained or whose host was moved. Change: worker-ended names the reason, the runs, the ones that the worker had not listed as running, and how long it was silent. A run keeps whether it was listed in this term. No logic changed.

--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -38,6 +38,8 @@
 	confirmedClockMs: number | undefined;
 	/** Time at which the worker first confirmed the run. */
 	confirmedAt: number | undefined;
+	/** Whether the worker has listed the run as running in this term. */
+	isListed: boolean;
 	stopReason: StopReason | undefined;
 	/** Checkpoint from which the run was started; empty if none. */
 	readonly startCheckpoint: string;
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -174,6 +174,7 @@
 			startByMs: 0,
 			confirmedClockMs: undefined,
 			confirmedAt: undefined,
+			isListed: false,
 			stopReason: undefined,
 			startCheckpoint: task.checkpoint,
 			percent: 0,
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -8,6 +8,9 @@
 /** Longest delay after which an unanswered order may still be executed, in milliseconds, as stated by the platform. */
 export const MAXIMUM_ORDER_DELAY_MS = 12_500;
 
+/** Number of tasks that the line about the end of a worker names. */
+const MAXIMUM_LOGGED_TASKS = 6;
+
 /**
  * Tracks the incarnations of workers: which are monitored, which answer, and what happens to the runs of an ended one.
  */
@@ -92,6 +95,16 @@
 		const next = workers.byName(state.worker);
 		state.hasEnded = true;
 		stopMonitoring(state);
+		const unlisted = [...state.runs.values()].filter(({ isListed }) => !isListed);
+		note('worker-ended', {
+			worker: state.key,
+			reason,
+			isDraining: state.entry?.isDraining,
+			runs: state.runs.size,
+			unlistedRuns: unlisted.length,
+			unlistedTasks: unlisted.slice(0, MAXIMUM_LOGGED_TASKS).map(({ task }) => task.name),
+			silentMs: state.unreachableSince === undefined ? undefined : Math.round(now - state.unreachableSince),
+		});
 		for (const run of [...state.runs.values()]) {
 			const isUnanswered = run.phase !== 'running' && run.confirmedAt === undefined && run.startByMs > 0;
 			const mayStartLater =
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -78,6 +78,7 @@
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
 		run.confirmedAt ??= now;
+		run.isListed = true;
 		run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
 		run.percent = listed.percent;
 		run.load = listed.load;
