Add failing tests of a task that crashes its workers

Tests: a fleet whose workers crash at once when they start certain tasks and are back after 3 s, under successive leaders. Five more cases pass and guard sound tasks whose workers drain, are cut off, are taken down by orders, or crash for another reason.

--- /dev/null
+++ b/packages/engine/src/test/crashingTasks.test.ts
@@ -0,0 +1,132 @@
+import { describe, expect, it } from 'vitest';
+import { createCrashingFleet } from './crashingFleet.js';
+import { harnessJob, harnessStep } from './engineHarness.js';
+
+/** A job of tasks of 0.8 s. */
+const batchJob = (count: number) => harnessJob(harnessStep({ count, estimateMs: 800 }));
+
+/** A job of one task that outlasts the evacuation of its host. */
+const longJob = harnessJob(harnessStep({ count: 1, estimateMs: 9_000 }));
+
+const serviceJob = (count: number) => harnessJob(harnessStep({ count, isLasting: true, maximumAway: 1 }));
+
+const isDeadly = (task: string): boolean => task === 'deadly.0.0.0';
+
+describe('a task that crashes each worker that starts it', () => {
+	// The runs that were lost with their workers counted for nothing, so that the task crashed one worker after the other.
+	it('is given up after two workers have crashed under it, and its job fails', () => {
+		const fleet = createCrashingFleet(6, isDeadly);
+		fleet.submit('deadly', batchJob(6));
+		fleet.advance(30_000);
+		expect(fleet.startsOf('deadly.0.0.0')).toBe(2);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+	});
+
+	// A new leader began to count anew, since the journal did not say why a run was lost.
+	it('is not started further by the leaders that follow', () => {
+		const fleet = createCrashingFleet(6, isDeadly);
+		fleet.submit('deadly', batchJob(6));
+		for (let leader = 0; leader < 6; leader++) {
+			fleet.advance(4_500);
+			fleet.changeLeader();
+		}
+		fleet.advance(10_000);
+		expect(fleet.startsAfterThreeCrashes('deadly.0.0.0')).toBeLessThan(3);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+	});
+
+	// A leader that is lost before it notices the crash leaves a run on a worker whose entry has lapsed by then.
+	it('is not started further when each leader is lost between a crash and its discovery', () => {
+		const fleet = createCrashingFleet(6, isDeadly);
+		fleet.submit('deadly', batchJob(6));
+		for (let crash = 1; crash <= 8; crash++) {
+			for (let waited = 0; fleet.crashCount < crash && waited < 20_000; waited += 100) {
+				fleet.advance(100);
+			}
+			fleet.changeLeader();
+		}
+		fleet.advance(20_000);
+		expect(fleet.startsAfterThreeCrashes('deadly.0.0.0')).toBeLessThan(3);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+	});
+
+	// All tasks of a crashed worker were started together on the next one, so that each was present at each crash.
+	it('does not take the tasks beside it down with it', () => {
+		const fleet = createCrashingFleet(6, isDeadly);
+		const sound = Array.from({ length: 12 }, (_, index) => `sound${index}`);
+		sound.slice(0, 6).forEach(job => fleet.submit(job, batchJob(6)));
+		fleet.submit('deadly', batchJob(6));
+		sound.slice(6).forEach(job => fleet.submit(job, batchJob(6)));
+		fleet.advance(15_000);
+		expect(sound.filter(job => fleet.stateOf(job) !== 'done')).toEqual([]);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+		expect(fleet.crashCount).toBe(2);
+	});
+
+	// A task of a lasting service has no limit of attempts, and restarted without end.
+	it('is given up also if it belongs to a lasting service, whose neighbours go on', () => {
+		const fleet = createCrashingFleet(6, isDeadly);
+		fleet.submit('sound', serviceJob(5));
+		fleet.advance(2_000);
+		fleet.submit('deadly', serviceJob(5));
+		fleet.advance(30_000);
+		expect(fleet.startsAfterThreeCrashes('deadly.0.0.0')).toBeLessThan(3);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+		expect(fleet.stateOf('sound')).toBe('running');
+	});
+});
+
+describe('a sound task whose worker goes for another reason', () => {
+	it.each(['drain', 'cut'] as const)('is not held responsible (%s)', how => {
+		const fleet = createCrashingFleet(4);
+		fleet.submit('sound', longJob);
+		for (let loss = 0; loss < 6; loss++) {
+			fleet.advance(1_000);
+			const [worker] = fleet.workersOf('sound.0.0.0');
+			if (worker !== undefined) {
+				fleet.lose(worker, how);
+			}
+			fleet.advance(10_000);
+		}
+		expect(fleet.stateOf('sound')).not.toBe('failed');
+	});
+
+	it('is not held responsible when hosts are taken down for maintenance', () => {
+		const fleet = createCrashingFleet(4);
+		fleet.advance(200);
+		fleet.submit('sound', longJob);
+		for (let wave = 1; wave <= 6; wave++) {
+			fleet.advance(1_000);
+			const hosts = fleet.hostsOf('sound.0.0.0');
+			fleet.harness.engine.wavesChanged([{ wave, hosts, durationMs: 4_000, maximumDown: 1 }], fleet.harness.now);
+			fleet.advance(8_000);
+		}
+		expect(fleet.startsOf('sound.0.0.0')).toBeGreaterThan(3);
+		expect(fleet.stateOf('sound')).not.toBe('failed');
+	});
+
+	it('is not held responsible when it serves and its workers crash time and again', () => {
+		const fleet = createCrashingFleet(6);
+		fleet.submit('sound', serviceJob(3));
+		for (let crash = 0; crash < 8; crash++) {
+			fleet.advance(6_000);
+			const [worker] = fleet.workersOf('sound.0.0.0');
+			if (worker !== undefined) {
+				fleet.lose(worker, 'crash');
+			}
+		}
+		fleet.advance(8_000);
+		expect(fleet.stateOf('sound')).toBe('running');
+		expect(fleet.workersOf('sound.0.0.0')).toHaveLength(1);
+	});
+
+	it('restarts soon when half of the workers crash at once', () => {
+		const fleet = createCrashingFleet(8);
+		const sound = Array.from({ length: 10 }, (_, index) => `sound${index}`);
+		sound.forEach(job => fleet.submit(job, batchJob(6)));
+		fleet.advance(60);
+		fleet.upWorkers.slice(0, 4).forEach(worker => fleet.lose(worker, 'crash'));
+		fleet.advance(6_500);
+		expect(sound.filter(job => fleet.stateOf(job) !== 'done')).toEqual([]);
+	});
+});
--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -116,6 +116,8 @@
 	readonly teams?: readonly TeamPlan[];
 	/** Journal records of earlier leaders. */
 	readonly journal?: readonly JournalEvent[];
+	/** Time at which the term begins, in milliseconds; 1,000 unless given. */
+	readonly now?: number;
 	/** Receives the decision lines of the engine. */
 	readonly logDecision?: DecisionLogger;
 }
@@ -123,9 +125,9 @@
 const TICK_INTERVAL_MS = 20;
 const POLL_INTERVAL_MS = 100;
 
-/** Creates a harness whose engine leads in term 10, at time 1,000. */
+/** Creates a harness whose engine leads in term 10. */
 export function createEngineHarness(options: EngineHarnessOptions): EngineHarness {
-	let now = 1_000;
+	let now = options.now ?? 1_000;
 	const plan: FleetPlan = {
 		version: 1,
 		queues: options.queues,
