Give up tasks that crash the workers that start them

Cause: only ends that a worker lists use up the attempts of a task.

Suspected are the runs that the worker had not listed yet and, after a proven crash, the other finite ones; none if the worker was draining or an order to its host was recorded; and only runs never listed if the worker may have been cut off. A suspected task is started on a worker whose other runs are all listed, with few of them, and nothing else starts there until it is listed too; after three crashes it starts alone. A task is given up, and its job fails, when it was the only possible cause of a crash and two workers were lost under it, or five in any case. A service task that is ready is no longer suspected. Ruled out: counting every task that was on a crashed worker alike, which fails sound jobs; a trial on an empty worker each time, which holds up a pool after the loss of a rack; a refused connection as proof of a crash, since a cut may refuse connections too.

--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -81,6 +81,8 @@
 	 * holds for every incarnation, since a worker may restart before the order is carried out.
 	 */
 	isCordoned(worker: Pick<WorkerState, 'key' | 'entry'>): boolean;
+	/** Whether an order to take the host down is recorded, so that it may have been carried out. */
+	isOrdered(host: string): boolean;
 	readonly waves: Map<number, WaveState>;
 	/** Returns the hosts of a wave whose maintenance is complete. */
 	settledHosts(wave: number): ReadonlySet<string>;
@@ -177,6 +179,7 @@
 			const order = entry === undefined ? undefined : orders.get(entry.host);
 			return order !== undefined && (order.phase !== 'away' || order.workerKey === key);
 		},
+		isOrdered: host => orders.get(host)?.isJournaled ?? false,
 		waves,
 		settledHosts,
 		hostsDueForMaintenance: () => {
--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, StepSpec } from '@chestnutwheel/ports/common/jobSpec.js';
 import { formatTaskName } from './taskName.js';
 import type { JobTiming } from '../scheduling/stepUrgency.js';
+import type { CrashEvidence } from '../workers/crashEvidence.js';
 import type { AcceptedJob } from './journalEvent.js';
 
 /** Phase of a run that may be executing. */
@@ -50,6 +51,8 @@
 	pace: number | undefined;
 	/** Whether an order that sets the pace awaits its answer. */
 	isPaceOrderPending: boolean;
+	/** What the loss of the worker says about the run; `undefined` while the worker exists, or if it went for a known reason. */
+	crash: CrashEvidence | undefined;
 	/** Progress listed last, and the time on the worker's clock at which it was first listed. */
 	progress: { readonly percent: number; readonly clockMs: number } | undefined;
 }
@@ -67,6 +70,10 @@
 	lastRun: number;
 	/** Number of failed runs. */
 	failures: number;
+	/** Number of workers that were lost while they may have executed the task. */
+	crashes: number;
+	/** Number of those that had not listed the run yet; 0 once a worker has listed a run of the task. */
+	startCrashes: number;
 	/** Latest known checkpoint; empty if there is none. */
 	checkpoint: string;
 	/** Runs that may be executing. */
@@ -190,6 +197,8 @@
 			state: 'waiting',
 			lastRun: 0,
 			failures: 0,
+			crashes: 0,
+			startCrashes: 0,
 			checkpoint: '',
 			runs: [],
 			notBefore: 0,
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -181,6 +181,7 @@
 			load: undefined,
 			pace: undefined,
 			isPaceOrderPending: false,
+			crash: undefined,
 			progress: undefined,
 		};
 		task.runs.push(added);
@@ -238,12 +239,12 @@
 	};
 
 	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): void => {
-		const [occurrence, step, index, lastRun, failures, checkpoint, isDone] = snapshot;
+		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, crashes = 0, startCrashes = 0] = snapshot;
 		const task = getOrCreateOccurrence(job, occurrence, now)?.steps[step]?.tasks[index];
 		if (task === undefined) {
 			return;
 		}
-		Object.assign(task, { lastRun, failures, checkpoint });
+		Object.assign(task, { lastRun, failures, checkpoint, crashes, startCrashes });
 		task.step.lastGangRun = Math.max(task.step.lastGangRun, lastRun);
 		job.hasStarted ||= lastRun > 0;
 		if (isDone === 1) {
@@ -302,9 +303,11 @@
 		started: ({ runs }, _offset, now) => runs.forEach(run => addRun(run, now)),
 		ended: ({ runs }, _offset, now) => runs.forEach(run => endRun(run, now)),
 		dropped: ({ runs }, _offset, now) => {
-			for (const [name, number] of runs) {
+			for (const [name, number, crash] of runs) {
 				const run = resolveTask(name, now)?.runs.find(candidate => candidate.run === number);
 				if (run !== undefined) {
+					run.task.crashes += crash === undefined ? 0 : 1;
+					run.task.startCrashes += crash === 'start' ? 1 : 0;
 					removeRun(run, now);
 				}
 			}
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -34,8 +34,11 @@
 /** The end of a run: task, run number, kind of end, and last checkpoint, empty if none. */
 export type EndedRun = readonly [task: string, run: number, end: RunEnd, checkpoint: string];
 
-/** A run removed without a known end: task and run number. */
-export type DroppedRun = readonly [task: string, run: number];
+/** Phase of a run in which its worker was lost: before the worker had listed the run as running, or later. */
+export type CrashPhase = 'start' | 'work';
+
+/** A run removed without a known end: task, run number, and its phase if it may have crashed its worker. */
+export type DroppedRun = readonly [task: string, run: number, crash?: CrashPhase];
 
 /** State of a task in a rewritten job; `isDone` is `1` if the task has completed. */
 export type TaskSnapshot = readonly [
@@ -46,6 +49,9 @@
 	failures: number,
 	checkpoint: string,
 	isDone: 0 | 1,
+	/** Missing in records of earlier versions. */
+	crashes?: number,
+	startCrashes?: number,
 ];
 
 /** Compact record of an ended job, of which only the state can still be requested. */
@@ -140,7 +146,7 @@
 	/** Runs that are proven not to execute and whose end is unknown. */
 	| { readonly type: 'dropped'; readonly runs: readonly DroppedRun[] }
 	| { readonly type: 'cancelled'; readonly job: string }
-	/** A task of the job has used up the attempts that its queue allows. */
+	/** A task of the job has used up the attempts that its queue allows, or crashes the workers that start it. */
 	| { readonly type: 'failed'; readonly job: string }
 	/** The retention period of the job states has expired. */
 	| { readonly type: 'forgotten'; readonly jobs: readonly string[] }
--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -1,7 +1,8 @@
 import type { RunEnd } from '@chestnutwheel/ports/common/workerService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { Job, Step, StopReason, Task, TaskRun } from './job.js';
-import type { EndedRun } from './journalEvent.js';
+import { isGivenUp } from '../workers/crashEvidence.js';
+import type { DroppedRun, EndedRun } from './journalEvent.js';
 
 /**
  * Delay before a failed task is retried; it doubles with each failure, so that a failing task does not occupy a pool.
@@ -16,7 +17,10 @@
 export interface RunTerminator {
 	/** Records the ends of runs that a worker has listed. @param worker name of the worker */
 	recordEnds(ends: readonly EndedRun[], worker: string, now: number): void;
-	/** Removes a run that is proven not to execute now or later and whose end is unknown. */
+	/**
+	 * Removes a run that is proven not to execute now or later and whose end is unknown. Fails its job if the task is given
+	 * up because it crashes its workers.
+	 */
 	discard(run: TaskRun, reason: string, now: number): void;
 	/** Orders a run to stop; its resources are released once the worker lists its end. */
 	stop(run: TaskRun, reason: StopReason): void;
@@ -94,13 +98,18 @@
 			),
 		);
 		if (isOutOfAttempts) {
-			context.record({ type: 'failed', job: job.accepted.id }, now);
-			counters.add('jobs_failed_total', { queue: job.accepted.queue });
-			logDecision('job-failed', { job: job.accepted.id, attempts });
-			stopJob(job, 'gang-broken');
+			failJob(job, { attempts }, now);
 		}
 	};
 
+	/** @param cause fields of the decision line that tell why */
+	const failJob = (job: Job, cause: Readonly<Record<string, unknown>>, now: number): void => {
+		context.record({ type: 'failed', job: job.accepted.id }, now);
+		counters.add('jobs_failed_total', { queue: job.accepted.queue });
+		logDecision('job-failed', { job: job.accepted.id, ...cause });
+		stopJob(job, 'gang-broken');
+	};
+
 	/** Adds a completed step to the duration statistics and updates the timing of its job, once per step. */
 	const recordStepDurations = (step: Step): void => {
 		if (step.doneCount !== step.tasks.length || step.hasRecordedDurations) {
@@ -132,9 +141,22 @@
 			affectedJobs.forEach(job => completeOrFailJob(job, now));
 		},
 		discard: (run, reason, now) => {
+			const { task, crash } = run;
 			counters.add('runs_lost_total', { reason });
-			logDecision('run-lost', { task: run.task.name, run: run.run, worker: run.workerKey, phase: run.phase, reason });
-			context.record({ type: 'dropped', runs: [[run.task.name, run.run]] }, now);
+			logDecision('run-lost', {
+				task: task.name,
+				run: run.run,
+				worker: run.workerKey,
+				phase: run.phase,
+				reason,
+				crash,
+			});
+			const dropped: DroppedRun = crash === undefined ? [task.name, run.run] : [task.name, run.run, crash.phase];
+			context.record({ type: 'dropped', runs: [dropped] }, now);
+			const { job } = task.step.occurrence;
+			if (crash !== undefined && job.state === 'open' && task.state !== 'done' && isGivenUp(task, crash)) {
+				failJob(job, { task: task.name, crashedWorkers: task.crashes }, now);
+			}
 		},
 		stop,
 		stopJob,
--- /dev/null
+++ b/packages/engine/src/common/scheduling/crashTrial.ts
@@ -0,0 +1,47 @@
+import type { Task, TaskRun } from '../jobs/job.js';
+import { isProven } from '../workers/crashEvidence.js';
+import type { WorkerState } from '../workers/workerState.js';
+
+/**
+ * How a task under which workers have crashed is started, so that a further crash shows whether it is the cause:
+ * - `beside-listed-runs`: no other run on the worker is unlisted until the worker has listed this one,
+ * - `alone`: no other run on the worker can be the cause until this one has ended.
+ */
+export type TrialKind = 'beside-listed-runs' | 'alone';
+
+/** A run on trial, which keeps further work away from its worker. */
+export interface CrashTrial {
+	readonly run: TaskRun;
+	readonly kind: TrialKind;
+}
+
+/** Number of crashes, in whatever phase of the run, from which on a task starts alone. */
+const CRASHES_BEFORE_ALONE = 3;
+
+/** Returns how the next run of a task is tried; `undefined` if it is not suspected. */
+export function trialKindOf({ crashes, startCrashes }: Task): TrialKind | undefined {
+	if (crashes >= CRASHES_BEFORE_ALONE) {
+		return 'alone';
+	}
+	return startCrashes > 0 ? 'beside-listed-runs' : undefined;
+}
+
+const isSuitable: Readonly<Record<TrialKind, (other: TaskRun) => boolean>> = {
+	'beside-listed-runs': other => other.isListed,
+	alone: isProven,
+};
+
+/** Whether a trial of the given kind may begin on a worker. */
+export function isSuitableForTrial(kind: TrialKind, { runs }: Pick<WorkerState, 'runs'>): boolean {
+	return [...runs.values()].every(isSuitable[kind]);
+}
+
+const isOver: Readonly<Record<TrialKind, (run: TaskRun) => boolean>> = {
+	'beside-listed-runs': ({ isListed }) => isListed,
+	alone: isProven,
+};
+
+/** Whether a run on trial keeps further work away from a worker. */
+export function isOnTrial({ trial, runs }: Pick<WorkerState, 'trial' | 'runs'>): boolean {
+	return trial !== undefined && !isOver[trial.kind](trial.run) && [...runs.values()].includes(trial.run);
+}
--- a/packages/engine/src/common/scheduling/placement.ts
+++ b/packages/engine/src/common/scheduling/placement.ts
@@ -8,6 +8,7 @@
 import type { StepSpec } from '@chestnutwheel/ports/common/jobSpec.js';
 import type { Step, Task } from '../jobs/job.js';
 import type { WorkerState } from '../workers/workerState.js';
+import { isSuitableForTrial, trialKindOf } from './crashTrial.js';
 
 /** A worker that may receive new runs, as seen at the start of a scheduling pass. */
 export interface SchedulableWorker {
@@ -35,6 +36,9 @@
  */
 const DUE_HOST_PENALTY = 1;
 
+/** Score penalty for each run beside a task that may crash the worker. */
+const TRIAL_NEIGHBOUR_PENALTY = 1;
+
 /** Returns the resources that a task of the step reserves on its worker; best-effort tasks reserve no processors. */
 export function effectiveDemand(spec: StepSpec): Resources {
 	return spec.fills ? { ...spec.demand, milliCores: 0 } : spec.demand;
@@ -132,6 +136,7 @@
 	const demand = effectiveDemand(spec);
 	let best: SchedulableWorker | undefined;
 	let bestScore = Infinity;
+	const trialKind = trialKindOf(task);
 	for (const worker of options.workers) {
 		const { state, resources, rack } = worker;
 		if (
@@ -139,7 +144,8 @@
 			!hasRequiredLabel(spec, worker) ||
 			(options.onlyRack !== undefined && rack !== options.onlyRack) ||
 			options.allowedWorkers?.has(state.worker) === false ||
-			!isWithinRunLimits(task, worker)
+			!isWithinRunLimits(task, worker) ||
+			(trialKind !== undefined && !isSuitableForTrial(trialKind, state))
 		) {
 			continue;
 		}
@@ -150,7 +156,8 @@
 			INTERFERENCE_PENALTY * countInterferingRuns(spec, state) +
 			(task.failedWorkers.includes(state.worker) ? FAILED_WORKER_PENALTY : 0) +
 			(spec.isLasting ? SAME_RACK_PENALTY * countRunsInRack(step, rack, options.rackOf) : 0) +
-			(spec.isLasting && worker.isDueForMaintenance ? DUE_HOST_PENALTY : 0);
+			(spec.isLasting && worker.isDueForMaintenance ? DUE_HOST_PENALTY : 0) +
+			(trialKind === undefined ? 0 : TRIAL_NEIGHBOUR_PENALTY * state.runs.size);
 		if (score < bestScore) {
 			best = worker;
 			bestScore = score;
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -13,6 +13,7 @@
 import { suspicionOf } from '../workers/workerSuspicion.js';
 import { runKey, type WorkerState } from '../workers/workerState.js';
 import { compareUrgency, stepUrgency } from './stepUrgency.js';
+import { isOnTrial, trialKindOf } from './crashTrial.js';
 import { chooseWorker, effectiveDemand, chooseWorkerToReserve, type SchedulableWorker } from './placement.js';
 
 /** Maximum number of workers named in one advice request; each worker adds to the response time. */
@@ -42,6 +43,9 @@
 /** If less than this share of a pool's workers would stay out of quarantine, none of them is quarantined. */
 const MINIMUM_OPEN_SHARE = 0.5;
 
+/** Interval between two looks for a worker that suits a trial, in milliseconds. */
+const TRIAL_RETRY_MS = 50;
+
 /** Shorter waits are not logged, because nothing delayed the step. */
 const MINIMUM_LOGGED_WAIT_MS = 100;
 
@@ -69,7 +73,8 @@
 				context.hosts.isCordoned(state) ||
 				state.reachability !== 'answering' ||
 				state.clock === undefined ||
-				hasUnresolvedStart(state)
+				hasUnresolvedStart(state) ||
+				isOnTrial(state)
 			) {
 				continue;
 			}
@@ -171,6 +176,18 @@
 		added.phase = 'starting';
 		// The start deadline is unknown until the order is sent, so no worker listing may resolve the run earlier.
 		added.startByMs = Infinity;
+		const trialKind = trialKindOf(task);
+		if (trialKind !== undefined) {
+			state.trial = { run: added, kind: trialKind };
+			context.logDecision('crash-trial', {
+				task: task.name,
+				run,
+				worker: state.key,
+				kind: trialKind,
+				crashedWorkers: task.crashes,
+				runs: state.runs.size - 1,
+			});
+		}
 		const { spec } = task.step.occurrence.job;
 		context.emitWhenStored({
 			type: 'start',
@@ -195,6 +212,7 @@
 		}
 		const run = step.lastGangRun + 1;
 		chosen.forEach((worker, task) => start(task, worker, run, now));
+		pool.workers = pool.workers.filter(({ state }) => !isOnTrial(state));
 	};
 
 	const startTasks = (step: Step, pool: PoolPassState, now: number): void => {
@@ -215,6 +233,7 @@
 
 	const placeTasks = (step: Step, pool: PoolPassState, now: number): void => {
 		const allowedWorkers = requestAdvice(step, pool, now);
+		let hasReserved = false;
 		for (const task of step.tasks) {
 			if (task.state !== 'waiting') {
 				continue;
@@ -226,6 +245,7 @@
 			if (!isWithinTeamCap(step, 1)) {
 				return;
 			}
+			const trialKind = trialKindOf(task);
 			const worker = fitsInto(effectiveDemand(step.spec), pool.maximumFree)
 				? (chooseWorker(task, {
 						workers: pool.workers,
@@ -235,10 +255,21 @@
 					}) ?? chooseRemoteWorker(task, pool, allowedWorkers, now))
 				: undefined;
 			if (worker === undefined) {
-				reserveWorker(task, pool);
-				return;
+				if (!hasReserved) {
+					reserveWorker(task, pool);
+					hasReserved = true;
+				}
+				if (trialKind === undefined) {
+					return;
+				}
+				// The other tasks of the step need not wait for a worker that suits the trial.
+				requestPassAt(now + TRIAL_RETRY_MS);
+				continue;
 			}
 			start(task, worker, task.lastRun + 1, now);
+			if (trialKind !== undefined) {
+				pool.workers = pool.workers.filter(other => other !== worker);
+			}
 		}
 	};
 
--- /dev/null
+++ b/packages/engine/src/common/workers/crashEvidence.ts
@@ -0,0 +1,70 @@
+import type { CrashPhase } from '../jobs/journalEvent.js';
+import type { Task, TaskRun } from '../jobs/job.js';
+
+/** How a worker with its runs was lost. */
+export type WorkerLoss =
+	/** Another incarnation or worker answers in its place, and it had not announced that it would go. */
+	| 'crashed'
+	/** Its leases ran out: it crashed, or it was cut off from this leader. */
+	| 'unexplained'
+	/** It was draining, or an order to its host has taken it down. */
+	| 'planned';
+
+/** What the loss of a worker says about one of its runs. */
+export interface CrashEvidence {
+	readonly phase: CrashPhase;
+	/** Whether no other run of the worker can have crashed it. */
+	readonly isConclusive: boolean;
+}
+
+/** Progress of a service task that is ready, in percent. */
+const READY_PERCENT = 100;
+
+/**
+ * Number of workers that must have crashed under a task before it may be given up, as stated by the platform. The last of
+ * them must be conclusive.
+ */
+const CONCLUSIVE_CRASHES = 2;
+
+/** Number of workers lost under a task at which it is given up even if other runs were on each of them. */
+const MAXIMUM_CRASHES = 5;
+
+/** Whether the run has shown that it does not crash its worker, which only a task without an end can. */
+export function isProven({ task, isListed, percent }: TaskRun): boolean {
+	return task.step.spec.isLasting && isListed && percent >= READY_PERCENT;
+}
+
+/** Whether the order to start the run has been sent, or may have been by a former leader. */
+function wasSent({ startByMs }: TaskRun): boolean {
+	return startByMs !== Infinity;
+}
+
+const suspectsByLoss: Readonly<Record<WorkerLoss, (run: TaskRun) => boolean>> = {
+	crashed: run => wasSent(run) && !isProven(run),
+	// A worker that is cut off runs on, so that only runs it never listed are suspected.
+	unexplained: run => wasSent(run) && !run.isListed,
+	planned: () => false,
+};
+
+/**
+ * Finds the runs that may have crashed their worker. A run that the worker has not listed yet is the likeliest cause. If it
+ * is the only one of these and its task has lost a worker before, the other runs are not suspected.
+ */
+export function crashEvidence(runs: Iterable<TaskRun>, loss: WorkerLoss): ReadonlyMap<TaskRun, CrashEvidence> {
+	const suspects = [...runs].filter(suspectsByLoss[loss]);
+	const unlisted = suspects.filter(({ isListed }) => !isListed);
+	const likeliest = unlisted.length > 0 ? unlisted : suspects;
+	const [only] = likeliest.length === 1 ? likeliest : [];
+	const blamed = only !== undefined && only.task.crashes > 0 ? [only] : suspects;
+	return new Map(
+		blamed.map(run => [
+			run,
+			{ phase: run.isListed ? 'work' : 'start', isConclusive: loss === 'crashed' && run === only },
+		]),
+	);
+}
+
+/** Whether a task is given up after a further worker was lost under it. */
+export function isGivenUp({ crashes }: Pick<Task, 'crashes'>, { isConclusive }: CrashEvidence): boolean {
+	return crashes >= (isConclusive ? CONCLUSIVE_CRASHES : MAXIMUM_CRASHES);
+}
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -3,6 +3,7 @@
 import type { EngineContext } from '../engineContext.js';
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { TaskRun } from '../jobs/job.js';
+import { crashEvidence, type WorkerLoss } from './crashEvidence.js';
 import { runKey, type WorkerState } from './workerState.js';
 
 /** Longest delay after which an unanswered order may still be executed, in milliseconds, as stated by the platform. */
@@ -11,6 +12,16 @@
 /** Number of tasks that the line about the end of a worker names. */
 const MAXIMUM_LOGGED_TASKS = 6;
 
+/** Why an incarnation is over. */
+export type IncarnationEnd = 'worker-restarted' | 'address-reused' | 'host-move' | 'host-upkeep';
+
+const lossByEnd: Readonly<Record<IncarnationEnd, WorkerLoss>> = {
+	'worker-restarted': 'crashed',
+	'address-reused': 'crashed',
+	'host-move': 'planned',
+	'host-upkeep': 'planned',
+};
+
 /**
  * Tracks the incarnations of workers: which are monitored, which answer, and what happens to the runs of an ended one.
  */
@@ -24,7 +35,9 @@
 	/** Records that a call to the worker got no answer. */
 	readonly markUnreachable: (state: WorkerState, reason: string, now: number) => void;
 	/** Ends an incarnation, none of whose runs is at work any more. */
-	readonly endIncarnation: (state: WorkerState, reason: string, now: number) => void;
+	readonly endIncarnation: (state: WorkerState, reason: IncarnationEnd, now: number) => void;
+	/** Records which runs of a lost worker may have crashed it. */
+	recordLoss(state: WorkerState, loss: WorkerLoss): void;
 	/** Orders an incarnation to refuse a start that may still reach it. */
 	blockStart(state: WorkerState, task: string, runNumber: number, run: TaskRun | undefined, expiresAt: number): void;
 	/** Ends all earlier incarnations of the same worker. */
@@ -88,13 +101,20 @@
 		}
 	};
 
+	const recordLoss = (state: WorkerState, loss: WorkerLoss): void => {
+		const isPlanned =
+			state.entry !== undefined && (state.entry.isDraining || context.hosts.isOrdered(state.entry.host));
+		crashEvidence(state.runs.values(), isPlanned ? 'planned' : loss).forEach((evidence, run) => (run.crash = evidence));
+	};
+
 	/**
 	 * An unanswered start may still reach the next incarnation, so its run stays open until the start is blocked there.
 	 */
-	const endIncarnation = (state: WorkerState, reason: string, now: number): void => {
+	const endIncarnation = (state: WorkerState, reason: IncarnationEnd, now: number): void => {
 		const next = workers.byName(state.worker);
 		state.hasEnded = true;
 		stopMonitoring(state);
+		recordLoss(state, lossByEnd[reason]);
 		const unlisted = [...state.runs.values()].filter(({ isListed }) => !isListed);
 		note('worker-ended', {
 			worker: state.key,
@@ -169,6 +189,7 @@
 		recordAnswer,
 		markUnreachable,
 		endIncarnation,
+		recordLoss,
 		blockStart,
 		endOlderIncarnations,
 	};
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -12,12 +12,13 @@
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { TaskRun } from '../jobs/job.js';
 import { MAXIMUM_CLOCK_DRIFT, isFromOtherIncarnation, latestLocalTime, estimateWorkerClock } from './workerClock.js';
+import { isProven } from './crashEvidence.js';
 import { createListedEnds } from './listedEnds.js';
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
 import { createStallDetector } from './stallDetector.js';
 import { parseWorkerKey } from './workerKey.js';
-import { createWorkerIncarnations, MAXIMUM_ORDER_DELAY_MS } from './workerIncarnations.js';
+import { createWorkerIncarnations, MAXIMUM_ORDER_DELAY_MS, type IncarnationEnd } from './workerIncarnations.js';
 import { runKey, type UnansweredStart, type WorkerState } from './workerState.js';
 
 /** Margin added to the end of a lease, in milliseconds, because timers on the worker may fire late. */
@@ -45,7 +46,7 @@
 	stopAnswered(key: string, task: string, run: number, answer: WorkerOrderOutcome, now: number): void;
 	paceAnswered(key: string, task: string, run: number, percent: number, answer: WorkerOrderOutcome): void;
 	/** Ends an incarnation whose runs were terminated by an order to its host. */
-	endIncarnation(state: WorkerState, reason: string, now: number): void;
+	endIncarnation(state: WorkerState, reason: IncarnationEnd, now: number): void;
 	/** Starts to monitor an incarnation, or continues at its new address. */
 	monitor(state: WorkerState, now: number): void;
 	/** Gives up runs on unreachable workers whose leases have expired, and removes incarnations that have ended. */
@@ -72,6 +73,16 @@
 	const findRun = (key: string, task: string, run: number): TaskRun | undefined =>
 		workers.get(key)?.runs.get(runKey(task, run));
 
+	/** A run that its worker lists has not crashed it at its start, and a service task that is ready will not. */
+	const clearSuspicion = (run: TaskRun): void => {
+		const { task } = run;
+		if (task.startCrashes > 0 || (task.crashes > 0 && isProven(run))) {
+			task.startCrashes = 0;
+			task.crashes = isProven(run) ? 0 : task.crashes;
+			context.needsSchedulingPass = true;
+		}
+	};
+
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
 		run.confirmedAt ??= now;
@@ -79,6 +90,7 @@
 		run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
 		run.percent = listed.percent;
 		run.load = listed.load;
+		clearSuspicion(run);
 		if (run.phase === 'starting' || run.phase === 'unsure') {
 			run.phase = 'running';
 		}
@@ -331,6 +343,7 @@
 				const isUnreachable = state.reachability !== 'answering' && !state.hasEnded;
 				const endsBy = state.leaseEndsBy === 0 ? predecessorRunsEndBy() : state.leaseEndsBy;
 				if (isUnreachable && now > endsBy && state.runs.size > 0) {
+					incarnations.recordLoss(state, 'unexplained');
 					[...state.runs.values()].forEach(run => endRuns.discard(run, 'lease-ran-out', now));
 				}
 				for (const [key, { run, expiresAt }] of [...state.blockedStarts]) {
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -1,6 +1,7 @@
 import { noResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
 import type { WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
 import type { TaskRun } from '../jobs/job.js';
+import type { CrashTrial } from '../scheduling/crashTrial.js';
 import { workerKey } from './workerKey.js';
 
 /** Whether the worker answers the calls of this leader. */
@@ -74,6 +75,8 @@
 	unansweredStarts: readonly UnansweredStart[];
 	/** Time before which no new work is placed on the worker. */
 	avoidUntil: number;
+	/** The last run that was started here to find out whether its task crashes its workers. */
+	trial: CrashTrial | undefined;
 	/** Recent outcomes of runs, newest last. */
 	readonly outcomes: RunOutcome[];
 }
@@ -116,6 +119,7 @@
 		blockedStarts: new Map(),
 		unansweredStarts: [],
 		avoidUntil: 0,
+		trial: undefined,
 		outcomes: [],
 	};
 }
