Clear a run of a crash at its start only some time after the start

What callers saw: a task that crashes its workers was sometimes started on a third worker, and the tasks beside it were suspected. Cause: a run counted as past its start once its worker had listed it. A poll is answered at each end of a run, so that on a busy worker a list often falls between a start and the crash 10 ms later. Change: a run is established when a list shows it 100 ms or more after the first answer that confirmed it, by the worker's clock. The stand-in fleet of the tests now shows progress of its finite tasks; without it they were stopped as stalled after a second, and one test of sound tasks failed for that reason.

--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -39,8 +39,10 @@
 	confirmedClockMs: number | undefined;
 	/** Time at which the worker first confirmed the run. */
 	confirmedAt: number | undefined;
-	/** Whether the worker has listed the run as running in this term. */
-	isListed: boolean;
+	/** Time on the worker's clock of the first answer in this term that confirmed the run. */
+	firstClockMs: number | undefined;
+	/** Whether the worker has still listed the run as running some time after that answer. */
+	isEstablished: boolean;
 	stopReason: StopReason | undefined;
 	/** Checkpoint from which the run was started; empty if none. */
 	readonly startCheckpoint: string;
@@ -72,7 +74,7 @@
 	failures: number;
 	/** Number of workers that were lost while they may have executed the task. */
 	crashes: number;
-	/** Number of those that had not listed the run yet; 0 once a worker has listed a run of the task. */
+	/** Number of those on which the run was not established; 0 once a run of the task was. */
 	startCrashes: number;
 	/** Latest known checkpoint; empty if there is none. */
 	checkpoint: string;
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -34,7 +34,7 @@
 /** The end of a run: task, run number, kind of end, and last checkpoint, empty if none. */
 export type EndedRun = readonly [task: string, run: number, end: RunEnd, checkpoint: string];
 
-/** Phase of a run in which its worker was lost: before the worker had listed the run as running, or later. */
+/** Phase of a run in which its worker was lost: before the run was established, or later. */
 export type CrashPhase = 'start' | 'work';
 
 /** A run removed without a known end: task, run number, and its phase if it may have crashed its worker. */
--- a/packages/engine/src/common/scheduling/crashTrial.ts
+++ b/packages/engine/src/common/scheduling/crashTrial.ts
@@ -4,10 +4,10 @@
 
 /**
  * How a task under which workers have crashed is started, so that a further crash shows whether it is the cause:
- * - `beside-listed-runs`: no other run on the worker is unlisted until the worker has listed this one,
+ * - `beside-established-runs`: all other runs on the worker are established, until this one is too,
  * - `alone`: no other run on the worker can be the cause until this one has ended.
  */
-export type TrialKind = 'beside-listed-runs' | 'alone';
+export type TrialKind = 'beside-established-runs' | 'alone';
 
 /** A run on trial, which keeps further work away from its worker. */
 export interface CrashTrial {
@@ -23,11 +23,11 @@
 	if (crashes >= CRASHES_BEFORE_ALONE) {
 		return 'alone';
 	}
-	return startCrashes > 0 ? 'beside-listed-runs' : undefined;
+	return startCrashes > 0 ? 'beside-established-runs' : undefined;
 }
 
 const isSuitable: Readonly<Record<TrialKind, (other: TaskRun) => boolean>> = {
-	'beside-listed-runs': other => other.isListed,
+	'beside-established-runs': other => other.isEstablished,
 	alone: isProven,
 };
 
@@ -37,7 +37,7 @@
 }
 
 const isOver: Readonly<Record<TrialKind, (run: TaskRun) => boolean>> = {
-	'beside-listed-runs': ({ isListed }) => isListed,
+	'beside-established-runs': ({ isEstablished }) => isEstablished,
 	alone: isProven,
 };
 
--- a/packages/engine/src/common/workers/crashEvidence.ts
+++ b/packages/engine/src/common/workers/crashEvidence.ts
@@ -30,8 +30,8 @@
 const MAXIMUM_CRASHES = 5;
 
 /** Whether the run has shown that it does not crash its worker, which only a task without an end can. */
-export function isProven({ task, isListed, percent }: TaskRun): boolean {
-	return task.step.spec.isLasting && isListed && percent >= READY_PERCENT;
+export function isProven({ task, isEstablished, percent }: TaskRun): boolean {
+	return task.step.spec.isLasting && isEstablished && percent >= READY_PERCENT;
 }
 
 /** Whether the order to start the run has been sent, or may have been by a former leader. */
@@ -41,25 +41,25 @@
 
 const suspectsByLoss: Readonly<Record<WorkerLoss, (run: TaskRun) => boolean>> = {
 	crashed: run => wasSent(run) && !isProven(run),
-	// A worker that is cut off runs on, so that only runs it never listed are suspected.
-	unexplained: run => wasSent(run) && !run.isListed,
+	// A worker that is cut off runs on, so that only runs that were not established are suspected.
+	unexplained: run => wasSent(run) && !run.isEstablished,
 	planned: () => false,
 };
 
 /**
- * Finds the runs that may have crashed their worker. A run that the worker has not listed yet is the likeliest cause. If it
+ * Finds the runs that may have crashed their worker. A run that is not established is the likeliest cause. If it
  * is the only one of these and its task has lost a worker before, the other runs are not suspected.
  */
 export function crashEvidence(runs: Iterable<TaskRun>, loss: WorkerLoss): ReadonlyMap<TaskRun, CrashEvidence> {
 	const suspects = [...runs].filter(suspectsByLoss[loss]);
-	const unlisted = suspects.filter(({ isListed }) => !isListed);
-	const likeliest = unlisted.length > 0 ? unlisted : suspects;
+	const starting = suspects.filter(({ isEstablished }) => !isEstablished);
+	const likeliest = starting.length > 0 ? starting : suspects;
 	const [only] = likeliest.length === 1 ? likeliest : [];
 	const blamed = only !== undefined && only.task.crashes > 0 ? [only] : suspects;
 	return new Map(
 		blamed.map(run => [
 			run,
-			{ phase: run.isListed ? 'work' : 'start', isConclusive: loss === 'crashed' && run === only },
+			{ phase: run.isEstablished ? 'work' : 'start', isConclusive: loss === 'crashed' && run === only },
 		]),
 	);
 }
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -115,14 +115,14 @@
 		state.hasEnded = true;
 		stopMonitoring(state);
 		recordLoss(state, lossByEnd[reason]);
-		const unlisted = [...state.runs.values()].filter(({ isListed }) => !isListed);
+		const starting = [...state.runs.values()].filter(({ isEstablished }) => !isEstablished);
 		note('worker-ended', {
 			worker: state.key,
 			reason,
 			isDraining: state.entry?.isDraining,
 			runs: state.runs.size,
-			unlistedRuns: unlisted.length,
-			unlistedTasks: unlisted.slice(0, MAXIMUM_LOGGED_TASKS).map(({ task }) => task.name),
+			startingRuns: starting.length,
+			startingTasks: starting.slice(0, MAXIMUM_LOGGED_TASKS).map(({ task }) => task.name),
 			silentMs: state.unreachableSince === undefined ? undefined : Math.round(now - state.unreachableSince),
 		});
 		for (const run of [...state.runs.values()]) {
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -24,6 +24,12 @@
 /** Margin added to the end of a lease, in milliseconds, because timers on the worker may fire late. */
 const LEASE_MARGIN_MS = 100;
 
+/**
+ * Time on the worker's clock after the first confirmation of a run from which on a list shows that its start has not crashed
+ * the worker, in milliseconds. An end of another run may trigger a list in the moment between a start and the crash.
+ */
+const ESTABLISHED_AFTER_MS = 100;
+
 /** Time for which a worker that has refused a start gets no new work, in milliseconds. */
 const REFUSAL_BACKOFF_MS = 1_000;
 
@@ -37,7 +43,7 @@
 	pollRequest(key: string, waitMs: number, isSureToLead: boolean, now: number): PollRequest | undefined;
 	/** Whether the incarnation runs tasks that end by themselves. */
 	hasFiniteRuns(key: string): boolean;
-	/** Returns a start's deadline on the worker's clock; `undefined` if the clock is unknown or the run was dropped. */
+	/** Returns a start's deadline on the worker's clock; `undefined` if it must not be sent. */
 	startDeadline(key: string, task: string, run: number, now: number): number | undefined;
 	/** Handles an unanswered attempt to send a start. @returns whether another attempt may be made */
 	startAttemptUnanswered(key: string, task: string, run: number, now: number): boolean;
@@ -73,9 +79,12 @@
 	const findRun = (key: string, task: string, run: number): TaskRun | undefined =>
 		workers.get(key)?.runs.get(runKey(task, run));
 
-	/** A run that its worker lists has not crashed it at its start, and a service task that is ready will not. */
+	/** An established run has not crashed its worker at its start, and a service task that is ready will not crash it. */
 	const clearSuspicion = (run: TaskRun): void => {
 		const { task } = run;
+		if (!run.isEstablished) {
+			return;
+		}
 		if (task.startCrashes > 0 || (task.crashes > 0 && isProven(run))) {
 			task.startCrashes = 0;
 			task.crashes = isProven(run) ? 0 : task.crashes;
@@ -86,7 +95,8 @@
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
 		run.confirmedAt ??= now;
-		run.isListed = true;
+		run.firstClockMs ??= clockMs;
+		run.isEstablished ||= clockMs >= run.firstClockMs + ESTABLISHED_AFTER_MS;
 		run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
 		run.percent = listed.percent;
 		run.load = listed.load;
@@ -208,6 +218,7 @@
 			if (run.confirmedAt === undefined) {
 				context.startDelay.record(now - run.decidedAt);
 			}
+			run.firstClockMs ??= clockMs;
 			run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
 			run.confirmedAt ??= now;
 			if (run.phase === 'starting' || run.phase === 'unsure') {
--- a/packages/engine/src/test/crashingFleet.ts
+++ b/packages/engine/src/test/crashingFleet.ts
@@ -54,17 +54,23 @@
 	stateOf(job: string): string | undefined;
 }
 
-/** Creates a fleet in which a worker crashes at once when it starts a task for which `isDeadly` holds. */
-export function createCrashingFleet(
-	workerCount: number,
-	isDeadly: (task: string) => boolean = () => false,
-): CrashingFleet {
-	const options = {
+/** Options of {@link createCrashingFleet}. */
+export interface CrashingFleetOptions {
+	/** Tasks that crash each worker that starts them. */
+	readonly isDeadly?: (task: string) => boolean;
+	/** Whether such a worker lists the run as running before it crashes. */
+	readonly isListedBeforeCrash?: boolean;
+}
+
+/** Creates a fleet of sound workers. */
+export function createCrashingFleet(workerCount: number, options: CrashingFleetOptions = {}): CrashingFleet {
+	const isDeadly = options.isDeadly ?? (() => false);
+	const harnessOptions = {
 		pools: [{ name: 'desk', isStandby: false, guardsRoom: false }],
 		queues: [harnessQueue('desk')],
 	};
 	let journal: JournalEvent[] = [];
-	let harness = createEngineHarness(options);
+	let harness = createEngineHarness(harnessOptions);
 	const placed = new Map<string, PlacedWorker>();
 	const starts = new Map<string, number>();
 	const crashes = new Map<string, number>();
@@ -133,6 +139,13 @@
 		disappearances[how](lost);
 	};
 
+	/** Returns the duration of a task; `undefined` if it lasts. */
+	const durationOf = (task: string): number | undefined => {
+		const path = parseTaskName(task);
+		const step = specs.get(path?.job ?? '')?.steps[path?.step ?? 0];
+		return step?.isLasting === false ? step.estimateMs : undefined;
+	};
+
 	const begin = ({ workerKey, task, run }: Extract<EngineEffect, { type: 'start' }>): void => {
 		const target = placed.get(workerKey.slice(0, -2));
 		const { monitor } = harness.engine;
@@ -150,12 +163,14 @@
 		}
 		target.worker.running.set(task, { task, run, checkpoint: '', percent: 100, load: undefined });
 		monitor.startAnswered(workerKey, task, run, { type: 'started', clockMs: harness.now }, harness.now);
-		const path = parseTaskName(task);
-		const step = specs.get(path?.job ?? '')?.steps[path?.step ?? 0];
-		if (step?.isLasting === false) {
-			target.endsAt.set(task, harness.now + step.estimateMs);
+		const durationMs = durationOf(task);
+		if (durationMs !== undefined) {
+			target.endsAt.set(task, harness.now + durationMs);
 		}
 		if (isDeadly(task)) {
+			if (options.isListedBeforeCrash === true) {
+				harness.pollWorker(target.worker);
+			}
 			crashCount++;
 			lose(target.worker.name, 'crash');
 		}
@@ -186,12 +201,25 @@
 		(handlers[effect.type] as ((effect: EngineEffect) => void) | undefined)?.(effect);
 	};
 
-	const endDueRuns = (): void => {
+	/** A run that makes no progress would be stopped as stalled. */
+	const showProgress = (worker: HarnessWorker, task: string, at: number): void => {
+		const run = worker.running.get(task);
+		if (run !== undefined) {
+			worker.running.set(task, {
+				...run,
+				percent: Math.floor(100 - (100 * (at - harness.now)) / (durationOf(task) ?? 1)),
+			});
+		}
+	};
+
+	const continueRuns = (): void => {
 		for (const { worker, endsAt, isUp } of placed.values()) {
-			for (const [task, at] of endsAt) {
-				if (isUp && at <= harness.now) {
+			for (const [task, at] of isUp ? endsAt : []) {
+				if (at <= harness.now) {
 					endsAt.delete(task);
 					harness.endRun(worker, task, 'done');
+				} else {
+					showProgress(worker, task, at);
 				}
 			}
 		}
@@ -228,7 +256,7 @@
 		changeLeader: () => {
 			journal = [...journal, ...harness.journal];
 			const now = harness.now;
-			harness = createEngineHarness({ ...options, journal, now });
+			harness = createEngineHarness({ ...harnessOptions, journal, now });
 			for (const [name, { worker, endsAt, isUp }] of placed) {
 				const readded = harness.addWorker(name, 'desk', { host: worker.host }, [...worker.running.values()]);
 				readded.ended.push(...worker.ended);
@@ -241,7 +269,7 @@
 			while (harness.now < until) {
 				harness.advance(STEP_MS);
 				harness.takeEffects().forEach(carryOut);
-				endDueRuns();
+				continueRuns();
 				const due = returns.filter(({ at }) => at <= harness.now);
 				returns = returns.filter(({ at }) => at > harness.now);
 				due.forEach(({ run }) => run());
--- a/packages/engine/src/test/crashingTasks.test.ts
+++ b/packages/engine/src/test/crashingTasks.test.ts
@@ -15,7 +15,7 @@
 describe('a task that crashes each worker that starts it', () => {
 	// The runs that were lost with their workers counted for nothing, so that the task crashed one worker after the other.
 	it('is given up after two workers have crashed under it, and its job fails', () => {
-		const fleet = createCrashingFleet(6, isDeadly);
+		const fleet = createCrashingFleet(6, { isDeadly });
 		fleet.submit('deadly', batchJob(6));
 		fleet.advance(30_000);
 		expect(fleet.startsOf('deadly.0.0.0')).toBe(2);
@@ -24,7 +24,7 @@
 
 	// A new leader began to count anew, since the journal did not say why a run was lost.
 	it('is not started further by the leaders that follow', () => {
-		const fleet = createCrashingFleet(6, isDeadly);
+		const fleet = createCrashingFleet(6, { isDeadly });
 		fleet.submit('deadly', batchJob(6));
 		for (let leader = 0; leader < 6; leader++) {
 			fleet.advance(4_500);
@@ -37,7 +37,7 @@
 
 	// A leader that is lost before it notices the crash leaves a run on a worker whose entry has lapsed by then.
 	it('is not started further when each leader is lost between a crash and its discovery', () => {
-		const fleet = createCrashingFleet(6, isDeadly);
+		const fleet = createCrashingFleet(6, { isDeadly });
 		fleet.submit('deadly', batchJob(6));
 		for (let crash = 1; crash <= 8; crash++) {
 			for (let waited = 0; fleet.crashCount < crash && waited < 20_000; waited += 100) {
@@ -52,7 +52,7 @@
 
 	// All tasks of a crashed worker were started together on the next one, so that each was present at each crash.
 	it('does not take the tasks beside it down with it', () => {
-		const fleet = createCrashingFleet(6, isDeadly);
+		const fleet = createCrashingFleet(6, { isDeadly });
 		const sound = Array.from({ length: 12 }, (_, index) => `sound${index}`);
 		sound.slice(0, 6).forEach(job => fleet.submit(job, batchJob(6)));
 		fleet.submit('deadly', batchJob(6));
@@ -63,9 +63,21 @@
 		expect(fleet.crashCount).toBe(2);
 	});
 
+	// An answer that another end had triggered listed the run in the moment before the crash, which cleared it of suspicion.
+	it('is found out also if its worker lists it in the moment before the crash', () => {
+		const fleet = createCrashingFleet(6, { isDeadly, isListedBeforeCrash: true });
+		const sound = Array.from({ length: 6 }, (_, index) => `sound${index}`);
+		sound.forEach(job => fleet.submit(job, batchJob(6)));
+		fleet.submit('deadly', batchJob(6));
+		fleet.advance(15_000);
+		expect(sound.filter(job => fleet.stateOf(job) !== 'done')).toEqual([]);
+		expect(fleet.stateOf('deadly')).toBe('failed');
+		expect(fleet.crashCount).toBe(2);
+	});
+
 	// A task of a lasting service has no limit of attempts, and restarted without end.
 	it('is given up also if it belongs to a lasting service, whose neighbours go on', () => {
-		const fleet = createCrashingFleet(6, isDeadly);
+		const fleet = createCrashingFleet(6, { isDeadly });
 		fleet.submit('sound', serviceJob(5));
 		fleet.advance(2_000);
 		fleet.submit('deadly', serviceJob(5));
