Withhold starts from workers that have shrunk or begun to drain since the decision

What callers would see: a worker that does not guard its resources is started over them (LIMIT), or a task starts on a draining worker. It was sent without another look at the worker. Change: the deadline of a start is given only if the worker is not draining and all that runs or is to run there still fits. A start that is withheld is placed anew. Ruled out: a worker's resources kept elsewhere than in its entry (host lists are used for planning only).

--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -1,4 +1,4 @@
-import { noResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
+import { fitsInto, noResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
 import type {
 	ListedRun,
 	PollOutcome,
@@ -92,6 +92,10 @@
 		}
 	};
 
+	/** Whether a start may still be sent: the worker may have shrunk or begun to drain while the start waited for the journal. */
+	const acceptsWork = ({ entry, usedResources }: WorkerState): boolean =>
+		entry === undefined || (!entry.isDraining && fitsInto(usedResources, entry.resources));
+
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
 		run.confirmedAt ??= now;
@@ -280,6 +284,10 @@
 			if (state === undefined || state.hasEnded || known?.phase !== 'starting' || clockMs === undefined) {
 				return undefined;
 			}
+			if (!acceptsWork(state)) {
+				note('start-withheld', { task, run, worker: key, isDraining: state.entry?.isDraining });
+				return undefined;
+			}
 			known.startByMs = Math.round(clockMs + settings.startWindowMs);
 			const latest = latestLocalTime(state, known.startByMs) ?? 0;
 			state.leaseEndsBy = Math.max(state.leaseEndsBy, latest + LEASE_MARGIN_MS);
--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -97,7 +97,7 @@
 	pollWorker(worker: HarnessWorker): void;
 	/** Determines whether a worker answers polls. Its runs go on meanwhile. */
 	setSilent(worker: HarnessWorker, isSilent: boolean): void;
-	/** Confirms all pending starts, which workers list from now on, and returns their number. */
+	/** Confirms all pending starts that may still be sent, which workers list from now on, and returns their number. */
 	confirmStarts(): number;
 	/** Ends a run on its worker and polls the worker. */
 	endRun(worker: HarnessWorker, task: string, end: RunEnd): void;
@@ -260,7 +260,11 @@
 					continue;
 				}
 				const worker = workers.get(effect.workerKey);
-				engine.monitor.startDeadline(effect.workerKey, effect.task, effect.run, now);
+				if (engine.monitor.startDeadline(effect.workerKey, effect.task, effect.run, now) === undefined) {
+					const refusal = { type: 'not-started', reason: 'late', clockMs: undefined } as const;
+					engine.monitor.startAnswered(effect.workerKey, effect.task, effect.run, refusal, now);
+					continue;
+				}
 				engine.monitor.startAnswered(effect.workerKey, effect.task, effect.run, { type: 'started', clockMs: now }, now);
 				worker?.running.set(effect.task, {
 					task: effect.task,
