Fail a job for crashes only if two workers are known to have crashed under its task

What callers would see: a sound or once crashed job is shown as failed after a single crash under one of its tasks. Cause: each lost worker counted alike. A start that reached a worker after it had crashed gets no answer and never ran; a worker whose lease ran out may have been cut off. Change: a crash is proven if the worker had confirmed the run and is known to have crashed. A task is given up at its second proven crash, as the only suspect, or after five lost workers. A worker that turns out to have crashed after its leases ran out proves the losses recorded before, in a second record of the run, which older daemons skip. Ruled out: giving up at a fixed number of lost workers alone; with it, either sound jobs fail or the limit of the platform breaks when each crash is found by another leader.

--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -74,7 +74,9 @@
 	failures: number;
 	/** Number of workers that were lost while they may have executed the task. */
 	crashes: number;
-	/** Number of those on which the run was not established; 0 once a run of the task was. */
+	/** Number of those that are known to have crashed while they executed it. */
+	provenCrashes: number;
+	/** Number of lost workers on which the run was not established; 0 once a run of the task was. */
 	startCrashes: number;
 	/** Latest known checkpoint; empty if there is none. */
 	checkpoint: string;
@@ -200,6 +202,7 @@
 			lastRun: 0,
 			failures: 0,
 			crashes: 0,
+			provenCrashes: 0,
 			startCrashes: 0,
 			checkpoint: '',
 			runs: [],
--- a/packages/engine/src/common/jobs/jobSnapshot.ts
+++ b/packages/engine/src/common/jobs/jobSnapshot.ts
@@ -10,11 +10,12 @@
 	const active: StartedRun[] = [];
 	for (const occurrence of job.occurrences.values()) {
 		for (const step of occurrence.steps) {
-			for (const { index, lastRun, failures, crashes, startCrashes, checkpoint, state, runs, name } of step.tasks) {
+			for (const task of step.tasks) {
+				const { index, lastRun, failures, checkpoint, state, runs, name } = task;
 				if (lastRun > 0 || state === 'done') {
 					const isDone = state === 'done' ? 1 : 0;
 					const known = [occurrence.number, step.number, index, lastRun, failures, checkpoint, isDone] as const;
-					tasks.push(crashes > 0 ? [...known, crashes, startCrashes] : known);
+					tasks.push(task.crashes > 0 ? [...known, task.crashes, task.provenCrashes, task.startCrashes] : known);
 				}
 				for (const run of runs) {
 					const { worker, incarnation: life } = parseWorkerKey(run.workerKey);
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -240,12 +240,13 @@
 	};
 
 	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): void => {
-		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, crashes = 0, startCrashes = 0] = snapshot;
+		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...crashCounts] = snapshot;
+		const [crashes = 0, provenCrashes = 0, startCrashes = 0] = crashCounts;
 		const task = getOrCreateOccurrence(job, occurrence, now)?.steps[step]?.tasks[index];
 		if (task === undefined) {
 			return;
 		}
-		Object.assign(task, { lastRun, failures, checkpoint, crashes, startCrashes });
+		Object.assign(task, { lastRun, failures, checkpoint, crashes, provenCrashes, startCrashes });
 		task.step.lastGangRun = Math.max(task.step.lastGangRun, lastRun);
 		job.hasStarted ||= lastRun > 0;
 		if (isDone === 1) {
@@ -304,8 +305,12 @@
 		started: ({ runs }, _offset, now) => runs.forEach(run => addRun(run, now)),
 		ended: ({ runs }, _offset, now) => runs.forEach(run => endRun(run, now)),
 		dropped: ({ runs }, _offset, now) => {
-			for (const [name, number, crash] of runs) {
-				const run = resolveTask(name, now)?.runs.find(candidate => candidate.run === number);
+			for (const [name, number, crash, isProven = 0] of runs) {
+				const task = resolveTask(name, now);
+				const run = task?.runs.find(candidate => candidate.run === number);
+				if (task !== undefined) {
+					task.provenCrashes += isProven;
+				}
 				if (run !== undefined) {
 					run.task.crashes += crash === undefined ? 0 : 1;
 					run.task.startCrashes += crash === 'start' ? 1 : 0;
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -37,8 +37,11 @@
 /** Phase of a run in which its worker was lost: before the run was established, or later. */
 export type CrashPhase = 'start' | 'work';
 
-/** A run removed without a known end: task, run number, and its phase if it may have crashed its worker. */
-export type DroppedRun = readonly [task: string, run: number, crash?: CrashPhase];
+/**
+ * A run removed without a known end: task and run number; if it may have crashed its worker, its phase, and `1` if the worker
+ * is known to have crashed while it executed the run. A second record of a run adds that knowledge.
+ */
+export type DroppedRun = readonly [task: string, run: number, crash?: CrashPhase, isProven?: 0 | 1];
 
 /** State of a task in a rewritten job; `isDone` is `1` if the task has completed. */
 export type TaskSnapshot = readonly [
@@ -51,6 +54,7 @@
 	isDone: 0 | 1,
 	/** Missing in records of earlier versions. */
 	crashes?: number,
+	provenCrashes?: number,
 	startCrashes?: number,
 ];
 
--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -1,7 +1,7 @@
 import type { RunEnd } from '@chestnutwheel/ports/common/workerService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { Job, Step, StopReason, Task, TaskRun } from './job.js';
-import { isGivenUp } from '../workers/crashEvidence.js';
+import { isGivenUp, type CrashEvidence } from '../workers/crashEvidence.js';
 import type { DroppedRun, EndedRun } from './journalEvent.js';
 
 /**
@@ -22,6 +22,8 @@
 	 * up because it crashes its workers.
 	 */
 	discard(run: TaskRun, reason: string, now: number): void;
+	/** Records that the worker of a run that was discarded has crashed, which was not known then. */
+	proveCrash(run: TaskRun, now: number): void;
 	/** Orders a run to stop; its resources are released once the worker lists its end. */
 	stop(run: TaskRun, reason: StopReason): void;
 	/** Stops all runs of a job that has ended and withdraws its ready steps. */
@@ -102,6 +104,17 @@
 		}
 	};
 
+	/** Records that a run is lost, or what became known of it later, and fails its job if the task is given up. */
+	const recordLoss = ({ task, run }: TaskRun, crash: CrashEvidence | undefined, now: number): void => {
+		const dropped: DroppedRun =
+			crash === undefined ? [task.name, run] : [task.name, run, crash.phase, crash.isProven ? 1 : 0];
+		context.record({ type: 'dropped', runs: [dropped] }, now);
+		const { job } = task.step.occurrence;
+		if (crash !== undefined && job.state === 'open' && task.state !== 'done' && isGivenUp(task, crash)) {
+			failJob(job, { task: task.name, lostWorkers: task.crashes, crashedWorkers: task.provenCrashes }, now);
+		}
+	};
+
 	/** @param cause fields of the decision line that tell why */
 	const failJob = (job: Job, cause: Readonly<Record<string, unknown>>, now: number): void => {
 		context.record({ type: 'failed', job: job.accepted.id }, now);
@@ -151,11 +164,12 @@
 				reason,
 				crash,
 			});
-			const dropped: DroppedRun = crash === undefined ? [task.name, run.run] : [task.name, run.run, crash.phase];
-			context.record({ type: 'dropped', runs: [dropped] }, now);
-			const { job } = task.step.occurrence;
-			if (crash !== undefined && job.state === 'open' && task.state !== 'done' && isGivenUp(task, crash)) {
-				failJob(job, { task: task.name, crashedWorkers: task.crashes }, now);
+			recordLoss(run, crash, now);
+		},
+		proveCrash: (run, now) => {
+			if (run.crash?.isProven === false) {
+				run.crash = { ...run.crash, isProven: true };
+				recordLoss(run, run.crash, now);
 			}
 		},
 		stop,
--- a/packages/engine/src/common/scheduling/crashTrial.ts
+++ b/packages/engine/src/common/scheduling/crashTrial.ts
@@ -1,5 +1,5 @@
 import type { Task, TaskRun } from '../jobs/job.js';
-import { isProven } from '../workers/crashEvidence.js';
+import { isCleared } from '../workers/crashEvidence.js';
 import type { WorkerState } from '../workers/workerState.js';
 
 /**
@@ -28,7 +28,7 @@
 
 const isSuitable: Readonly<Record<TrialKind, (other: TaskRun) => boolean>> = {
 	'beside-established-runs': other => other.isEstablished,
-	alone: isProven,
+	alone: isCleared,
 };
 
 /** Whether a trial of the given kind may begin on a worker. */
@@ -38,7 +38,7 @@
 
 const isOver: Readonly<Record<TrialKind, (run: TaskRun) => boolean>> = {
 	'beside-established-runs': ({ isEstablished }) => isEstablished,
-	alone: isProven,
+	alone: isCleared,
 };
 
 /** Whether a run on trial keeps further work away from a worker. */
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -184,7 +184,7 @@
 				run,
 				worker: state.key,
 				kind: trialKind,
-				crashedWorkers: task.crashes,
+				lostWorkers: task.crashes,
 				runs: state.runs.size - 1,
 			});
 		}
--- a/packages/engine/src/common/workers/crashEvidence.ts
+++ b/packages/engine/src/common/workers/crashEvidence.ts
@@ -13,24 +13,26 @@
 /** What the loss of a worker says about one of its runs. */
 export interface CrashEvidence {
 	readonly phase: CrashPhase;
+	/** Whether the worker has crashed, and had confirmed the run. Otherwise the run may never have begun, or the worker lives. */
+	readonly isProven: boolean;
 	/** Whether no other run of the worker can have crashed it. */
-	readonly isConclusive: boolean;
+	readonly isOnlySuspect: boolean;
 }
 
 /** Progress of a service task that is ready, in percent. */
 const READY_PERCENT = 100;
 
 /**
- * Number of workers that must have crashed under a task before it may be given up, as stated by the platform. The last of
- * them must be conclusive.
+ * Number of workers that must have crashed under a task before it may be given up, as stated by the platform. At the last crash
+ * it must be the only suspect.
  */
-const CONCLUSIVE_CRASHES = 2;
+const PROVEN_CRASHES = 2;
 
 /** Number of workers lost under a task at which it is given up even if other runs were on each of them. */
 const MAXIMUM_CRASHES = 5;
 
 /** Whether the run has shown that it does not crash its worker, which only a task without an end can. */
-export function isProven({ task, isEstablished, percent }: TaskRun): boolean {
+export function isCleared({ task, isEstablished, percent }: TaskRun): boolean {
 	return task.step.spec.isLasting && isEstablished && percent >= READY_PERCENT;
 }
 
@@ -39,8 +41,13 @@
 	return startByMs !== Infinity;
 }
 
+/** Whether the worker has confirmed in this term that the run began. */
+function isConfirmed({ confirmedAt }: TaskRun): boolean {
+	return confirmedAt !== undefined;
+}
+
 const suspectsByLoss: Readonly<Record<WorkerLoss, (run: TaskRun) => boolean>> = {
-	crashed: run => wasSent(run) && !isProven(run),
+	crashed: run => wasSent(run) && !isCleared(run),
 	// A worker that is cut off runs on, so that only runs that were not established are suspected.
 	unexplained: run => wasSent(run) && !run.isEstablished,
 	planned: () => false,
@@ -54,17 +61,24 @@
 	const suspects = [...runs].filter(suspectsByLoss[loss]);
 	const starting = suspects.filter(({ isEstablished }) => !isEstablished);
 	const likeliest = starting.length > 0 ? starting : suspects;
-	const [only] = likeliest.length === 1 ? likeliest : [];
+	const [only] = likeliest.length === 1 ? likeliest.filter(isConfirmed) : [];
 	const blamed = only !== undefined && only.task.crashes > 0 ? [only] : suspects;
 	return new Map(
 		blamed.map(run => [
 			run,
-			{ phase: run.isEstablished ? 'work' : 'start', isConclusive: loss === 'crashed' && run === only },
+			{
+				phase: run.isEstablished ? 'work' : 'start',
+				isProven: loss === 'crashed' && isConfirmed(run),
+				isOnlySuspect: run === only,
+			},
 		]),
 	);
 }
 
 /** Whether a task is given up after a further worker was lost under it. */
-export function isGivenUp({ crashes }: Pick<Task, 'crashes'>, { isConclusive }: CrashEvidence): boolean {
-	return crashes >= (isConclusive ? CONCLUSIVE_CRASHES : MAXIMUM_CRASHES);
+export function isGivenUp(
+	{ crashes, provenCrashes }: Pick<Task, 'crashes' | 'provenCrashes'>,
+	{ isOnlySuspect, isProven }: CrashEvidence,
+): boolean {
+	return crashes >= MAXIMUM_CRASHES || (isOnlySuspect && isProven && provenCrashes >= PROVEN_CRASHES);
 }
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -37,7 +37,7 @@
 	/** Ends an incarnation, none of whose runs is at work any more. */
 	readonly endIncarnation: (state: WorkerState, reason: IncarnationEnd, now: number) => void;
 	/** Records which runs of a lost worker may have crashed it. */
-	recordLoss(state: WorkerState, loss: WorkerLoss): void;
+	recordLoss(state: WorkerState, loss: WorkerLoss, now: number): void;
 	/** Orders an incarnation to refuse a start that may still reach it. */
 	blockStart(state: WorkerState, task: string, runNumber: number, run: TaskRun | undefined, expiresAt: number): void;
 	/** Ends all earlier incarnations of the same worker. */
@@ -101,10 +101,17 @@
 		}
 	};
 
-	const recordLoss = (state: WorkerState, loss: WorkerLoss): void => {
-		const isPlanned =
-			state.entry !== undefined && (state.entry.isDraining || context.hosts.isOrdered(state.entry.host));
-		crashEvidence(state.runs.values(), isPlanned ? 'planned' : loss).forEach((evidence, run) => (run.crash = evidence));
+	const recordLoss = (state: WorkerState, reported: WorkerLoss, now: number): void => {
+		const { entry } = state;
+		const isPlanned = entry !== undefined && (entry.isDraining || context.hosts.isOrdered(entry.host));
+		const loss = isPlanned ? 'planned' : reported;
+		crashEvidence(state.runs.values(), loss).forEach((evidence, run) => (run.crash = evidence));
+		if (loss === 'unexplained') {
+			state.lostRuns = [...state.runs.values()].filter(run => run.crash !== undefined && run.confirmedAt !== undefined);
+		} else if (loss === 'crashed') {
+			state.lostRuns.forEach(run => endRuns.proveCrash(run, now));
+			state.lostRuns = [];
+		}
 	};
 
 	/**
@@ -114,7 +121,7 @@
 		const next = workers.byName(state.worker);
 		state.hasEnded = true;
 		stopMonitoring(state);
-		recordLoss(state, lossByEnd[reason]);
+		recordLoss(state, lossByEnd[reason], now);
 		const starting = [...state.runs.values()].filter(({ isEstablished }) => !isEstablished);
 		note('worker-ended', {
 			worker: state.key,
@@ -156,6 +163,7 @@
 
 	const recordAnswer = (state: WorkerState, clockMs: number | undefined, now: number): void => {
 		state.lastAnswerAt = now;
+		state.lostRuns = [];
 		state.unreachableSince = undefined;
 		state.fencedClockMs ??= clockMs;
 		if (clockMs !== undefined && clockMs >= (state.clock?.clockMs ?? 0)) {
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -12,7 +12,7 @@
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { TaskRun } from '../jobs/job.js';
 import { MAXIMUM_CLOCK_DRIFT, isFromOtherIncarnation, latestLocalTime, estimateWorkerClock } from './workerClock.js';
-import { isProven } from './crashEvidence.js';
+import { isCleared } from './crashEvidence.js';
 import { createListedEnds } from './listedEnds.js';
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
@@ -85,9 +85,12 @@
 		if (!run.isEstablished) {
 			return;
 		}
-		if (task.startCrashes > 0 || (task.crashes > 0 && isProven(run))) {
+		if (task.startCrashes > 0 || (task.crashes > 0 && isCleared(run))) {
 			task.startCrashes = 0;
-			task.crashes = isProven(run) ? 0 : task.crashes;
+			if (isCleared(run)) {
+				task.crashes = 0;
+				task.provenCrashes = 0;
+			}
 			context.needsSchedulingPass = true;
 		}
 	};
@@ -362,7 +365,7 @@
 				const isUnreachable = state.reachability !== 'answering' && !state.hasEnded;
 				const endsBy = state.leaseEndsBy === 0 ? predecessorRunsEndBy() : state.leaseEndsBy;
 				if (isUnreachable && now > endsBy && state.runs.size > 0) {
-					incarnations.recordLoss(state, 'unexplained');
+					incarnations.recordLoss(state, 'unexplained', now);
 					[...state.runs.values()].forEach(run => endRuns.discard(run, 'lease-ran-out', now));
 				}
 				for (const [key, { run, expiresAt }] of [...state.blockedStarts]) {
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -75,6 +75,8 @@
 	unansweredStarts: readonly UnansweredStart[];
 	/** Time before which no new work is placed on the worker. */
 	avoidUntil: number;
+	/** Runs that were given up when their lease ran out, while it is not known whether the worker has crashed. */
+	lostRuns: readonly TaskRun[];
 	/** The last run that was started here to find out whether its task crashes its workers. */
 	trial: CrashTrial | undefined;
 	/** Recent outcomes of runs, newest last. */
@@ -119,6 +121,7 @@
 		blockedStarts: new Map(),
 		unansweredStarts: [],
 		avoidUntil: 0,
+		lostRuns: [],
 		trial: undefined,
 		outcomes: [],
 	};
--- a/packages/engine/src/test/fleetChecker.ts
+++ b/packages/engine/src/test/fleetChecker.ts
@@ -4,7 +4,7 @@
 import type { ListedEnd } from '@chestnutwheel/ports/common/workerService.js';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
 import { parseTaskName } from '../common/jobs/taskName.js';
-import type { ModelWorker, WorkerObserver } from './modelWorker.js';
+import type { ModelWorker, TaskBehaviour, WorkerObserver } from './modelWorker.js';
 
 /** Time after the cancellation of a job within which its tasks may still start. */
 const CANCEL_GRACE_MS = 3_000;
@@ -23,7 +23,11 @@
 }
 
 /** Creates a checker that has recorded no events. */
-export function createFleetChecker(plan: FleetPlan, specs: ReadonlyMap<string, JobSpec>): FleetChecker {
+export function createFleetChecker(
+	plan: FleetPlan,
+	specs: ReadonlyMap<string, JobSpec>,
+	behaviourOf: (task: string) => TaskBehaviour,
+): FleetChecker {
 	const violations: string[] = [];
 	let startCount = 0;
 	/** Workers, with their incarnation, that run each task. */
@@ -31,6 +35,10 @@
 	const endedTasks = new Set<string>();
 	const doneTasks = new Set<string>();
 	const failureCounts = new Map<string, number>();
+	/** Number of workers that crashed under each task. */
+	const crashCounts = new Map<string, number>();
+	/** Number of starts of each task that crashes its workers, after the third crash. */
+	const lateStartCounts = new Map<string, number>();
 	const cancelledAt = new Map<string, number>();
 	const acceptedJobs = new Set<string>();
 
@@ -40,6 +48,14 @@
 		}
 	};
 
+	/** Whether a task of the job fails, or two workers have crashed under one of its tasks. */
+	const mayFail = (job: string): boolean => {
+		const tasks = (specs.get(job)?.steps ?? []).flatMap(({ count }, step) =>
+			Array.from({ length: count }, (_, index) => `${job}.0.${step}.${index}`),
+		);
+		return tasks.some(task => behaviourOf(task).fails || (crashCounts.get(task) ?? 0) >= 2);
+	};
+
 	return {
 		violations,
 		get startCount() {
@@ -80,6 +96,13 @@
 			if (cancelled !== undefined && at > cancelled + CANCEL_GRACE_MS) {
 				reportViolation(`${at}: ${task} starts ${at - cancelled} ms after its job was cancelled`);
 			}
+			if (behaviourOf(task).crashesWorker === true && (crashCounts.get(task) ?? 0) >= 3) {
+				const lateStarts = (lateStartCounts.get(task) ?? 0) + 1;
+				lateStartCounts.set(task, lateStarts);
+				if (lateStarts >= 3) {
+					reportViolation(`${at}: crashes: ${task} starts for the third time after it has crashed three workers`);
+				}
+			}
 			const attempts = plan.queues[0]?.attempts ?? 1;
 			if (!step.isLasting && (failureCounts.get(task) ?? 0) >= attempts) {
 				reportViolation(`${at}: attempts: ${task} starts after ${attempts} failures`);
@@ -91,6 +114,9 @@
 			if (end === 'done') {
 				endedTasks.add(task);
 			}
+			if (end === 'vanished') {
+				crashCounts.set(task, (crashCounts.get(task) ?? 0) + 1);
+			}
 		},
 		acknowledged: (_worker, end: ListedEnd) => {
 			if (end.end === 'done') {
@@ -105,6 +131,9 @@
 				if (event.type === 'accepted') {
 					acceptedJobs.add(event.job.id);
 				}
+				if (event.type === 'failed' && !mayFail(event.job)) {
+					reportViolation(`${now}: failed: job ${event.job} fails without cause`);
+				}
 				if (event.type === 'cancelled') {
 					cancelledAt.set(event.job, now);
 				}
--- a/packages/engine/src/test/fleetModel.test.ts
+++ b/packages/engine/src/test/fleetModel.test.ts
@@ -63,7 +63,12 @@
 	return hash < share * 1_000;
 }
 
-function createModel(seed: number, faults: ModelFaults, poisonedShare = 0.05): FleetModel {
+/** Selects other tasks than {@link isPoisoned}, which crash each worker that starts them. */
+function crashesWorker(task: string, share: number): boolean {
+	return isPoisoned(`${task} crashes`, share);
+}
+
+function createModel(seed: number, faults: ModelFaults, poisonedShare = 0.05, crashingShare = 0): FleetModel {
 	const random = createSeededRandom(seed);
 	return createFleetModel({
 		random,
@@ -80,6 +85,7 @@
 			return {
 				runMs: 100 + ((task.length * 7_919 + Number(task.split('.')[3]) * 131) % 1_200),
 				fails: isPoisoned(task, poisonedShare),
+				crashesWorker: crashesWorker(task, crashingShare),
 				isService: step.isLasting,
 				demand: step.demand,
 			};
@@ -97,9 +103,10 @@
 	seed: number,
 	incidents: readonly { readonly type: Incident; readonly at: number }[],
 	faults: ModelFaults,
+	crashingShare = 0,
 ): FleetModel {
 	const random = createSeededRandom(seed + 1);
-	const model = createModel(seed, faults);
+	const model = createModel(seed, faults, undefined, crashingShare);
 	const pending = [...incidents].sort((left, right) => left.at - right.at);
 	const delayed: { readonly at: number; readonly run: () => void }[] = [];
 	let submittedJobs = 0;
@@ -278,4 +285,28 @@
 			{ numRuns: histories, seed: Number(process.env.FLEET_SEED ?? 20_261_204) },
 		);
 	});
+
+	const crashHistories = Math.ceil(histories / 2);
+	it(
+		`limits the crashes by one task in ${crashHistories} histories with random incidents`,
+		{ timeout: 3_600_000 },
+		() => {
+			const incident = fc.record({
+				type: fc.constantFrom<Incident>('crash', 'cut', 'leader-killed', 'leader-deposed', 'store-outage', 'lapse'),
+				at: fc.integer({ min: 0, max: 10_000 }),
+			});
+			fc.assert(
+				fc.property(
+					fc.integer({ min: 0, max: 1_000_000 }),
+					fc.array(incident, { maxLength: 6 }),
+					fc.constantFrom<ModelFaults>(noFaults, { answerLossRate: 0.05, delayedExecutionRate: 0 }),
+					fc.constantFrom(0.02, 0.1),
+					(seed, incidents, faults, crashingShare) => {
+						expect(runHistory(seed, incidents, faults, crashingShare).checker.violations).toEqual([]);
+					},
+				),
+				{ numRuns: crashHistories, seed: Number(process.env.FLEET_SEED ?? 20_261_204) },
+			);
+		},
+	);
 });
--- a/packages/engine/src/test/fleetModel.ts
+++ b/packages/engine/src/test/fleetModel.ts
@@ -1,6 +1,4 @@
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
-import type { SeededRandom } from '@chestnutwheel/base/common/seededRandom.js';
-import type { FleetPlan } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { JobSpec } from '@chestnutwheel/ports/common/jobSpec.js';
 import type { PollOutcome, WorkerOrderOutcome, StartOutcome } from '@chestnutwheel/ports/common/workerService.js';
 import { createEngine, type Engine } from '../common/engine.js';
@@ -9,7 +7,8 @@
 import { readStoredJournal } from './storedJournal.js';
 import { parseTaskName } from '../common/jobs/taskName.js';
 import { createFleetChecker, type FleetChecker } from './fleetChecker.js';
-import { CALL_TIMEOUT_MS, createModelNetwork, type CallKind, type ModelFaults } from './modelNetwork.js';
+import type { FleetModelOptions } from './fleetModelOptions.js';
+import { CALL_TIMEOUT_MS, createModelNetwork, type CallKind } from './modelNetwork.js';
 import { MODEL_LEADERSHIP_VALID_MS, modelSettings } from './modelSettings.js';
 import type { ModelLeader } from './modelLeader.js';
 import { createModelWorker, type ModelWorker, type TaskBehaviour } from './modelWorker.js';
@@ -17,6 +16,9 @@
 const CLOCK_STEP_MS = 5;
 const POLL_WAIT_MS = 1_000;
 
+/** Time after which a worker that a task has crashed is back. */
+const CRASH_DURATION_MS = 3_000;
+
 interface ScheduledCall {
 	readonly at: number;
 	readonly run: () => void;
@@ -43,16 +45,6 @@
 	setJournalAvailable(isAvailable: boolean): void;
 }
 
-/** Options of {@link createFleetModel}. */
-export interface FleetModelOptions {
-	readonly random: SeededRandom;
-	readonly plan: FleetPlan;
-	readonly workers: readonly { readonly name: string; readonly pool: string; readonly rack: string }[];
-	readonly resources: { readonly milliCores: number; readonly memoryMb: number; readonly accelerators: number };
-	readonly faults: ModelFaults;
-	readonly behaviourOf: (task: string, spec: JobSpec) => TaskBehaviour;
-}
-
 /** Creates a fleet whose first leader has just begun its term. */
 export function createFleetModel(options: FleetModelOptions): FleetModel {
 	const { random, plan, faults } = options;
@@ -64,7 +56,7 @@
 	const reconnectedAt = new Map<string, number>();
 	let isJournalAvailable = true;
 	let epoch = 0;
-	const checker = createFleetChecker(plan, specs);
+	const checker = createFleetChecker(plan, specs, task => behaviourOf(task));
 	const behaviourOf = (task: string): TaskBehaviour => {
 		const spec = specs.get(parseTaskName(task)?.job ?? '');
 		if (spec === undefined) {
@@ -81,6 +73,13 @@
 			clockRate: 0.98 + random.next() * 0.02,
 			behaviourOf,
 			observer: checker,
+			onCrash: worker => {
+				schedule(CRASH_DURATION_MS, () => {
+					worker.restart(now);
+					active.engine.workersChanged([{ key: worker.name, offset: 0, value: worker.entry() }], undefined, now);
+					flush(active);
+				});
+			},
 		}),
 	);
 	const teamOf = (id: string): string | undefined => plan.teams.find(({ name }) => id.startsWith(name))?.name;
--- a/packages/engine/src/test/modelWorker.ts
+++ b/packages/engine/src/test/modelWorker.ts
@@ -18,6 +18,9 @@
 /** Start-up time of a service task. */
 const SERVICE_START_UP_MS = 400;
 
+/** Time from the start of a task that crashes its worker to the crash. */
+const CRASH_DELAY_MS = 10;
+
 /** Receives the starts, ends and acknowledgements that occur at a worker. */
 export interface WorkerObserver {
 	started(worker: ModelWorker, task: string, run: number, at: number): void;
@@ -29,6 +32,8 @@
 export interface TaskBehaviour {
 	readonly runMs: number;
 	readonly fails: boolean;
+	/** Whether the task crashes its worker shortly after its start. */
+	readonly crashesWorker?: boolean;
 	readonly isService: boolean;
 	readonly demand: Resources;
 }
@@ -74,6 +79,8 @@
 	readonly clockRate: number;
 	readonly behaviourOf: (task: string) => TaskBehaviour;
 	readonly observer: WorkerObserver;
+	/** Called when a task has crashed the worker. */
+	readonly onCrash?: (worker: ModelWorker) => void;
 }
 
 /** Creates a worker that is up and has no runs. */
@@ -201,6 +208,13 @@
 			if (!worker.isUp) {
 				return;
 			}
+			if (
+				[...runs.values()].some(run => run.behaviour.crashesWorker === true && now >= run.startedAt + CRASH_DELAY_MS)
+			) {
+				worker.crash(now);
+				options.onCrash?.(worker);
+				return;
+			}
 			for (const run of [...runs.values()]) {
 				if (now >= run.endsAt) {
 					endRun(run, run.plannedEnd, now);
