Withhold the starts of a gang together

What callers would see: a gang ends alone, because the start of one member was withheld while the others were sent. Cause: the look at the worker before a start is sent, added for workers that have shrunk or begun to drain, judged each member of a gang by itself. Change: a member is sent only if all members of its run are there and their workers accept work. Evidence: the new test fails with the look at the own worker alone (a member is started) and passes now.

--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -95,9 +95,21 @@
 		}
 	};
 
-	/** Whether a start may still be sent: the worker may have shrunk or begun to drain while the start waited for the journal. */
-	const acceptsWork = ({ entry, usedResources }: WorkerState): boolean =>
-		entry === undefined || (!entry.isDraining && fitsInto(usedResources, entry.resources));
+	const acceptsWork = (state: WorkerState | undefined): boolean =>
+		state?.entry === undefined || (!state.entry.isDraining && fitsInto(state.usedResources, state.entry.resources));
+
+	/**
+	 * Whether a start may still be sent: workers may have shrunk or begun to drain while it waited for the journal. The members
+	 * of a gang start together or not at all.
+	 */
+	const mayStillStart = ({ task, run, workerKey }: TaskRun): boolean => {
+		const { spec, tasks } = task.step;
+		if (!spec.isGang) {
+			return acceptsWork(workers.get(workerKey));
+		}
+		const members = tasks.flatMap(({ runs }) => runs.filter(other => other.run === run));
+		return members.length === tasks.length && members.every(member => acceptsWork(workers.get(member.workerKey)));
+	};
 
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
@@ -287,7 +299,7 @@
 			if (state === undefined || state.hasEnded || known?.phase !== 'starting' || clockMs === undefined) {
 				return undefined;
 			}
-			if (!acceptsWork(state)) {
+			if (!mayStillStart(known)) {
 				note('start-withheld', { task, run, worker: key, isDraining: state.entry?.isDraining });
 				return undefined;
 			}
--- a/packages/engine/src/test/changingResources.test.ts
+++ b/packages/engine/src/test/changingResources.test.ts
@@ -83,4 +83,18 @@
 		setCores(harness, 4_000);
 		expect(harness.submit('job', 'desk', harnessJob(step)).type).toBe('accepted');
 	});
+
+	// Had only the start to that worker been withheld, the other members would have waited for it in vain.
+	it('gets no member of a gang if the worker of another member has begun to drain', () => {
+		const harness = createSingleWorkerHarness();
+		harness.addWorker('w1', 'desk');
+		harness.setJournalAvailable(false);
+		const member = { ...step, count: 2, isGang: true, demand: { ...step.demand, milliCores: 24_000 } };
+		harness.submit('job', 'desk', harnessJob(member));
+		harness.advance(100);
+		const value: WorkerEntry = { ...defaultWorkerEntry, ...address, isDraining: true };
+		harness.engine.workersChanged([{ key: 'w0', offset: 0, value }], undefined, harness.now);
+		harness.setJournalAvailable(true);
+		expect(countStarts(harness)).toBe(0);
+	});
 });
