Log what late jobs waited for and why hosts do not move to short pools

Change: job-done of a late job has the times of each step. pools-short counts the hosts of the largest pools by what keeps them. No decision changes.

Result: npx vitest run packages/engine: 106 passed.

--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -3,6 +3,7 @@
 import type { JobTiming } from '../scheduling/stepUrgency.js';
 import type { CrashEvidence } from '../workers/crashEvidence.js';
 import type { AcceptedJob } from './journalEvent.js';
+import { createStepTimeline, type StepTimeline } from './stepTimeline.js';
 
 /** Phase of a run that may be executing. */
 export type RunPhase =
@@ -110,6 +111,7 @@
 	readonly runTimesMs: number[];
 	/** Whether the run times were added to the duration statistics. */
 	hasRecordedDurations: boolean;
+	readonly timeline: StepTimeline;
 }
 
 /** One occurrence of a job's steps; a job that is not repeated has a single occurrence with number 0. */
@@ -191,6 +193,7 @@
 		lastFailedGangRun: 0,
 		runTimesMs: [],
 		hasRecordedDurations: false,
+		timeline: createStepTimeline(),
 	};
 	for (let index = 0; index < spec.count; index++) {
 		const path = { job: occurrence.job.accepted.id, occurrence: occurrence.number, step: number, index };
--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -3,6 +3,7 @@
 import type { Job, Step, StopReason, Task, TaskRun } from './job.js';
 import { isGivenUp, type CrashEvidence } from '../workers/crashEvidence.js';
 import type { DroppedRun, EndedRun } from './journalEvent.js';
+import { describeTimeline } from './stepTimeline.js';
 
 /**
  * Delay before a failed task is retried; it doubles with each failure, so that a failing task does not occupy a pool.
@@ -80,14 +81,23 @@
 		alone: () => undefined,
 	};
 
+	/** Logs the end of a job; for one that is late, also when its tasks could start, were started and ended. */
+	const logDone = ({ accepted, timing, occurrences }: Job, now: number): void => {
+		const { acceptedAt, objectiveMs } = timing;
+		const tookMs = Math.round(now - acceptedAt);
+		const steps = tookMs <= objectiveMs ? undefined : occurrences.get(0)?.steps;
+		logDecision('job-done', {
+			job: accepted.id,
+			queue: accepted.queue,
+			tookMs,
+			objectiveMs: Math.round(objectiveMs),
+			steps: steps?.map(({ timeline }) => describeTimeline(timeline, acceptedAt)),
+		});
+	};
+
 	const completeOrFailJob = (job: Job, now: number): void => {
 		if (job.state === 'done') {
-			logDecision('job-done', {
-				job: job.accepted.id,
-				queue: job.accepted.queue,
-				tookMs: Math.round(now - job.timing.acceptedAt),
-				objectiveMs: Math.round(job.timing.objectiveMs),
-			});
+			logDone(job, now);
 		}
 		if (job.state !== 'open') {
 			stopJob(job, job.state === 'cancelled' ? 'cancelled' : 'gang-broken');
@@ -124,11 +134,12 @@
 	};
 
 	/** Adds a completed step to the duration statistics and updates the timing of its job, once per step. */
-	const recordStepDurations = (step: Step): void => {
+	const recordStepDurations = (step: Step, now: number): void => {
 		if (step.doneCount !== step.tasks.length || step.hasRecordedDurations) {
 			return;
 		}
 		step.hasRecordedDurations = true;
+		step.timeline.doneAt = now;
 		const { job } = step.occurrence;
 		context.durations.record(job.accepted.queue, step.spec.estimateMs, step.runTimesMs);
 		job.timing = context.updatedJobTimes(job);
@@ -145,16 +156,18 @@
 				}
 				const task = jobs.task(name);
 				if (task !== undefined) {
+					task.step.timeline.unsuccessfulRuns += end === 'done' ? 0 : 1;
 					endHandlers[end](task, worker, now);
 					steps.add(task.step);
 					affectedJobs.add(task.step.occurrence.job);
 				}
 			}
-			steps.forEach(recordStepDurations);
+			steps.forEach(step => recordStepDurations(step, now));
 			affectedJobs.forEach(job => completeOrFailJob(job, now));
 		},
 		discard: (run, reason, now) => {
 			const { task, crash } = run;
+			task.step.timeline.unsuccessfulRuns++;
 			counters.add('runs_lost_total', { reason });
 			logDecision('run-lost', {
 				task: task.name,
--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -16,7 +16,8 @@
 import type { WorkerState } from '../workers/workerState.js';
 import { createPoolDemand, resourcesForWaiting, type PoolDemand } from './poolDemand.js';
 import { standbyPools } from './standbyPools.js';
-import { planMoves, type MovableHost, type PoolMove, type PoolNeed } from './poolPlan.js';
+import { planMoves, type MovableHost, type PoolNeed } from './poolPlan.js';
+import { createPoolShortageLog } from './poolShortageLog.js';
 
 /** Interval between two plans, in milliseconds. A move takes 1.5 s, so more frequent planning gains nothing. */
 const PLAN_INTERVAL_MS = 100;
@@ -39,9 +40,6 @@
 /** Time for which a worker without an entry still counts as serving. Entries return about 2 s after a store outage. */
 const UNLISTED_WORKER_GRACE_MS = 3_000;
 
-/** Minimum interval between two log lines about pools that lack hosts, in milliseconds. */
-const SHORTAGE_LOG_INTERVAL_MS = 1_000;
-
 /** Load of a pool, in hosts of its average size. */
 interface PoolLoad {
 	readonly lasting: number;
@@ -63,9 +61,9 @@
 /** Creates the component that moves hosts between pools. */
 export function createPoolRebalancer(context: EngineContext, orders: HostOrders): PoolRebalancer {
 	const { hosts, workers, teamUsage: teams, logDecision: note, counters } = context;
+	const shortageLog = createPoolShortageLog(context, orders);
 	const retainedByPool = new Map<string, { hosts: number; at: number }>();
 	let nextPlanAt = 0;
-	let shortageLoggedAt = -Infinity;
 
 	/**
 	 * Whether planning may begin: the hosts and workers are known, and each worker has been polled or had time to answer.
@@ -252,32 +250,6 @@
 			}));
 	};
 
-	/** Logs why pools lack hosts: all are busy, away, or were recently ordered by a previous leader. */
-	const logShortage = (
-		needsNow: readonly PoolNeedWithLoad[],
-		moves: readonly PoolMove[],
-		idle: readonly MovableHost[],
-		now: number,
-	): void => {
-		const short = needsNow.filter(
-			({ pool, currentHosts, targetHosts }) =>
-				currentHosts + moves.filter(({ to }) => to === pool).length < targetHosts,
-		);
-		if (short.length === 0 || now < shortageLoggedAt + SHORTAGE_LOG_INTERVAL_MS) {
-			return;
-		}
-		shortageLoggedAt = now;
-		const listed = [...hosts.hosts.values()];
-		note('pools-short', {
-			pools: short.map(({ pool, currentHosts, targetHosts }) => `${pool} ${currentHosts}/${targetHosts}`).join(),
-			hosts: listed.length,
-			up: listed.filter(({ state }) => state === 'up').length,
-			idle: idle.length,
-			ordered: hosts.orders.size,
-			paused: listed.filter(({ host }) => !hosts.orders.has(host) && !orders.isAvailable(host)).length,
-		});
-	};
-
 	return {
 		advance: now => {
 			if (now < nextPlanAt || !mayPlan(now)) {
@@ -289,7 +261,7 @@
 			const [spare] = standby;
 			const idle = movable(standby);
 			const moves = planMoves(wanted, idle, spare);
-			logShortage(wanted, moves, idle, now);
+			shortageLog.report(wanted, moves, idle, now);
 			for (const { host, from, to } of moves) {
 				const need = wanted.find(({ pool }) => pool === to);
 				note('host-moves', {
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -9,6 +9,7 @@
 import type { EngineContext } from '../engineContext.js';
 import type { Step, Task } from '../jobs/job.js';
 import type { StartedRun } from '../jobs/journalEvent.js';
+import { recordStart } from '../jobs/stepTimeline.js';
 import { formatStepName } from '../jobs/taskName.js';
 import { suspicionOf } from '../workers/workerSuspicion.js';
 import { runKey, type WorkerState } from '../workers/workerState.js';
@@ -174,6 +175,7 @@
 			return;
 		}
 		added.phase = 'starting';
+		recordStart(task.step.timeline, task.readySince, now);
 		// The start deadline is unknown until the order is sent, so no worker listing may resolve the run earlier.
 		added.startByMs = Infinity;
 		const trialKind = trialKindOf(task);
--- a/packages/engine/src/common/workers/listedEnds.ts
+++ b/packages/engine/src/common/workers/listedEnds.ts
@@ -24,6 +24,9 @@
 		const { task } = run;
 		const { accepted } = task.step.occurrence.job;
 		counters.add('runs_ended_total', { queue: accepted.queue, end });
+		if (end === 'done') {
+			task.step.timeline.lastConfirmedAt = run.confirmedAt;
+		}
 		if (end === 'done' && run.startCheckpoint === '' && run.confirmedAt !== undefined) {
 			task.step.runTimesMs.push(now - run.confirmedAt);
 		}
