Add the failing test of switched-off hosts that stay unused after a hand-over

Cause: the entry of a worker stays listed for some seconds after its host was taken down. The new leader takes that entry for a worker on the host which does not answer, so that the host counts as busy until the entry has been gone for the time after which a worker is considered gone.

--- a/packages/engine/src/test/poolRebalancing.test.ts
+++ b/packages/engine/src/test/poolRebalancing.test.ts
@@ -131,6 +131,26 @@
 		harness.advance(200);
 		expect(takeMoves(harness).length).toBeGreaterThan(3);
 	});
+
+	// A new leader left hosts off in a load peak until the entries of their former workers had been gone for seconds.
+	it('receive switched-off hosts although the entries of their former workers are still listed', () => {
+		const harness = createEngineHarness({ pools, queues: [harnessQueue('north')] });
+		harness.addWorker('n0', 'north');
+		harness.addWorker('n1', 'north');
+		const off = Array.from({ length: 6 }, (_, index) => `off-${index}`);
+		off.forEach(host => harness.addUnreachableWorker(`former-${host}`, host, 'south'));
+		harness.listHosts([
+			{ host: 'host-n0', pool: 'north', worker: 'n0' },
+			{ host: 'host-n1', pool: 'north', worker: 'n1' },
+			...off.map(host => ({ host, pool: 'spare' })),
+		]);
+		for (let job = 0; job < 6; job++) {
+			harness.submit(`job-${job}`, 'north', wideJob);
+		}
+		harness.advance(200);
+		const moved = takeMoves(harness).map(({ host }) => host);
+		expect(moved.toSorted()).toEqual(off);
+	});
 });
 
 describe('the current worker of a host', () => {
