Use switched-off hosts after a hand-over although old entries are still listed

What callers saw: after a hand-over in a peak their jobs waited for hosts that were switched off and unused.

Cause: a host in a standby pool counted as idle only if no worker entry named it. The entry of the worker that ran there before stays listed for some seconds, and a new leader, which did not see that worker end, kept it for several more.

Change: a worker that does not answer does not keep a switched-off host from being moved, unless runs on it are not known to have ended.

Ruled out: the pause after a predecessor's order, which held 1 host then.

--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -231,12 +231,12 @@
 		const due = hosts.hostsDueForMaintenance();
 		const isIdle = (listed: ListedHost, isOff: boolean): boolean => {
 			const state = workers.byHost(listed.host);
-			return state === undefined
-				? isOff
-				: serves(state) &&
-						state.entry?.pool === listed.pool &&
-						state.reachability === 'answering' &&
-						state.runs.size + state.orphanedRuns.size === 0;
+			const isAnswering = state?.reachability === 'answering';
+			if (isOff && !isAnswering) {
+				// The entry of the worker that ran there before may still be listed for some seconds.
+				return state === undefined || hasNoRuns(state);
+			}
+			return isAnswering && serves(state) && state.entry?.pool === listed.pool && hasNoRuns(state);
 		};
 		return [...hosts.hosts.values()]
 			.filter(host => host.state === 'up' && orders.isAvailable(host.host))
@@ -279,6 +279,10 @@
 	};
 }
 
+function hasNoRuns({ runs, orphanedRuns }: WorkerState): boolean {
+	return runs.size + orphanedRuns.size === 0;
+}
+
 /** Rounds loads for a log line to tenths of a host. */
 function roundLoad(shares: PoolLoad | undefined): Partial<PoolLoad> {
 	return Object.fromEntries(Object.entries(shares ?? {}).map(([name, share]) => [name, Math.round(share * 10) / 10]));
