Log once a second what the late jobs of each queue waited for

Change: jobs-late, at most one line a second and queue, has the number of late jobs and the means of their waits for hosts and for starts.

--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -181,6 +181,7 @@
 				context.record({ type: 'settled', term: context.term }, now);
 			}
 			monitor.expireLeases(now);
+			endRuns.tick(now);
 			jobMaintenance.tick(now);
 			hostMaintenance.tick(now);
 			const nextPassAt = schedulePass.nextPassAt(now);
--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -3,6 +3,7 @@
 import type { Job, Step, StopReason, Task, TaskRun } from './job.js';
 import { isGivenUp, type CrashEvidence } from '../workers/crashEvidence.js';
 import type { DroppedRun, EndedRun } from './journalEvent.js';
+import { createQueueOutcomes } from './queueOutcomes.js';
 import { describeTimeline } from './stepTimeline.js';
 
 /**
@@ -29,11 +30,14 @@
 	stop(run: TaskRun, reason: StopReason): void;
 	/** Stops all runs of a job that has ended and withdraws its ready steps. */
 	stopJob(job: Job, reason: StopReason): void;
+	/** Writes the log lines about late jobs that are due. */
+	tick(now: number): void;
 }
 
 /** Creates the run terminator of an engine. */
 export function createRunTerminator(context: EngineContext): RunTerminator {
 	const { jobs, logDecision, counters } = context;
+	const queueOutcomes = createQueueOutcomes(logDecision);
 
 	const stop = (run: TaskRun, reason: StopReason): void => {
 		if (run.phase === 'stopping') {
@@ -82,7 +86,9 @@
 	};
 
 	/** Logs the end of a job; for one that is late, also when its tasks could start, were started and ended. */
-	const logDone = ({ accepted, timing, occurrences }: Job, now: number): void => {
+	const logDone = (job: Job, now: number): void => {
+		const { accepted, timing, occurrences } = job;
+		queueOutcomes.recordDone(job, now);
 		const { acceptedAt, objectiveMs } = timing;
 		const tookMs = Math.round(now - acceptedAt);
 		const steps = tookMs <= objectiveMs ? undefined : occurrences.get(0)?.steps;
@@ -187,5 +193,6 @@
 		},
 		stop,
 		stopJob,
+		tick: now => queueOutcomes.tick(now),
 	};
 }
