--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -3,6 +3,7 @@
 import type { HostAction } from '../jobs/journalEvent.js';
 import type { WorkerState } from '../workers/workerState.js';
 import type { WorkerMonitor } from '../workers/workerMonitor.js';
+import { standbyPools } from '../pools/standbyPools.js';
 import type { Evacuation } from './evacuation.js';
 import { createHostOrder, type HostOrder, type HostOrderPhase } from './hostRegistry.js';
 
@@ -212,21 +213,18 @@
 		return (
 			isThere &&
 			isListNewer &&
-			(state?.reachability === 'answering' || now > order.phaseSince + UNSEEN_WORKER_TIMEOUT_MS)
+			(standbyPools(context.plan).has(listed.pool) ||
+				state?.reachability === 'answering' ||
+				now > order.phaseSince + UNSEEN_WORKER_TIMEOUT_MS)
 		);
 	};
 
 	const advanceAway = (order: HostOrder, now: number): void => {
 		const listed = hosts.hosts.get(order.host);
-		if (
-			listed !== undefined &&
-			listed.state !== 'up' &&
-			(hosts.listRequestedAt ?? 0) >= order.phaseSince &&
-			order.workerEndedAt === undefined
-		) {
-			order.workerEndedAt = now;
-			endWorkerIncarnation(order, now);
+		if (listed !== undefined && listed.state !== 'up' && (hosts.listRequestedAt ?? 0) >= order.phaseSince) {
+			order.hasEndedWorker = true;
 		}
+		endWorkerIncarnation(order, now);
 		if (listed !== undefined && hasReturned(order, listed, now)) {
 			settle(order, true, 'returned', now);
 		} else if (isRemoved(order)) {
@@ -243,7 +241,7 @@
 	/** Ends the worker incarnation on a host that has gone down, none of whose runs is at work any more. */
 	const endWorkerIncarnation = (order: HostOrder, now: number): void => {
 		const state = order.workerKey === undefined ? undefined : workers.get(order.workerKey);
-		if (state?.hasEnded === false) {
+		if (order.hasEndedWorker && state?.hasEnded === false) {
 			monitor.endIncarnation(state, `host-${order.action.type}`, now);
 		}
 	};
@@ -256,11 +254,12 @@
 		) => void;
 	} = {
 		accepted: (order, _answer, now) => {
-			enterPhase(order, 'away', now);
 			order.acceptedAt = Math.round(context.wallNow());
-			if (!order.isRetry) {
-				endWorkerIncarnation(order, now);
-			}
+			// The acceptance of a retry may refer to the first request, after which another worker has started on the host.
+			const acceptance = { endedWorker: order.isRetry ? undefined : order.workerKey };
+			const last = [order.host, context.term ?? 0, order.acceptedAt] as const;
+			context.record({ type: 'host-accepted', host: order.host, acceptance, last }, now);
+			endWorkerIncarnation(order, now);
 		},
 		refused: (order, { reason }, now) => {
 			counters.add('host_orders_refused_total', { action: order.action.type, reason });
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -1,6 +1,13 @@
 import type { MaintenanceWave } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { ListedHost } from '@chestnutwheel/ports/common/hostService.js';
-import type { HostAction, HostEvent, LastHostOrder, PendingHostOrder, WaveProgress } from '../jobs/journalEvent.js';
+import type {
+	HostAction,
+	HostEvent,
+	HostOrderAcceptance,
+	LastHostOrder,
+	PendingHostOrder,
+	WaveProgress,
+} from '../jobs/journalEvent.js';
 import type { WorkerState } from '../workers/workerState.js';
 
 /** Phase of an order to a host. */
@@ -29,13 +36,13 @@
 	isJournaled: boolean;
 	/** Whether an earlier request may have been executed, so that an acceptance may refer to that one. */
 	isRetry: boolean;
-	/** Time when the host list showed that the host was down, which ends its worker. */
-	workerEndedAt: number | undefined;
 	/**
 	 * Key of the worker incarnation that the order ends; `undefined` while the host is being evacuated or without a
 	 * worker.
 	 */
 	workerKey: string | undefined;
+	/** Whether the order is known to have ended that incarnation, and not a later one. */
+	hasEndedWorker: boolean;
 	/** Wall-clock time when the host service accepted the order, in milliseconds since 1970. */
 	acceptedAt: number | undefined;
 }
@@ -55,8 +62,8 @@
 		isInFlight: false,
 		isJournaled: isInherited,
 		isRetry: isInherited,
-		workerEndedAt: undefined,
 		workerKey: undefined,
+		hasEndedWorker: false,
 		acceptedAt: undefined,
 	};
 }
@@ -131,7 +138,7 @@
 		return created;
 	};
 
-	const addOrder = ({ host, action }: PendingHostOrder, now: number): void => {
+	const addOrder = ({ host, action, acceptance }: PendingHostOrder, now: number): void => {
 		const known = orders.get(host);
 		if (known !== undefined) {
 			known.phase = 'ordering';
@@ -140,6 +147,19 @@
 			return;
 		}
 		orders.set(host, createHostOrder(host, action, true, now));
+		if (acceptance !== undefined) {
+			applyAcceptance(host, acceptance, now);
+		}
+	};
+
+	const applyAcceptance = (host: string, { endedWorker }: HostOrderAcceptance, now: number): void => {
+		const order = orders.get(host);
+		if (order !== undefined) {
+			order.phase = 'away';
+			order.phaseSince = now;
+			order.workerKey = endedWorker ?? order.workerKey;
+			order.hasEndedWorker = endedWorker !== undefined;
+		}
 	};
 
 	type Handlers = {
@@ -150,6 +170,10 @@
 			lastOrders.set(order.host, [order.host, order.term, order.orderedAt]);
 			addOrder(order, now);
 		},
+		'host-accepted': ({ host, acceptance, last }, now) => {
+			lastOrders.set(host, last);
+			applyAcceptance(host, acceptance, now);
+		},
 		'host-settled': ({ host, action, isDone, last }) => {
 			orders.delete(host);
 			if (last !== undefined) {
@@ -206,7 +230,13 @@
 		rewrite: term => {
 			const open: PendingHostOrder[] = [...orders.values()]
 				.filter(({ isJournaled }) => isJournaled)
-				.map(({ host, action }) => ({ host, action, term, orderedAt: lastOrders.get(host)?.[2] ?? 0 }));
+				.map(({ host, action, phase, workerKey, hasEndedWorker }) => ({
+					host,
+					action,
+					term,
+					orderedAt: lastOrders.get(host)?.[2] ?? 0,
+					acceptance: phase === 'away' ? { endedWorker: hasEndedWorker ? workerKey : undefined } : undefined,
+				}));
 			const progress: WaveProgress[] = [...settledByWave].map(([wave, settled]) => ({ wave, settled: [...settled] }));
 			const last = [...lastOrders.values()];
 			return open.length + progress.length + last.length === 0
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -91,6 +91,14 @@
 	readonly term: number;
 	/** Wall-clock time of that leader, in milliseconds since 1970. */
 	readonly orderedAt: number;
+	/** Present if the host service has accepted the order. Missing in records of earlier versions. */
+	readonly acceptance?: HostOrderAcceptance | undefined;
+}
+
+/** Acceptance of an order by the host service, which has taken the host down. */
+export interface HostOrderAcceptance {
+	/** Key of the worker incarnation that ended with it; absent if none was known. */
+	readonly endedWorker?: string | undefined;
 }
 
 /** The last order to a host: host, term, and wall-clock time in milliseconds since 1970. */
@@ -113,6 +121,13 @@
 export type HostEvent =
 	/** An order was issued; the event is stored before the order is sent. */
 	| { readonly type: 'host-ordered'; readonly order: PendingHostOrder }
+	/** The host service has accepted an order, which need not be repeated. */
+	| {
+			readonly type: 'host-accepted';
+			readonly host: string;
+			readonly acceptance: HostOrderAcceptance;
+			readonly last: LastHostOrder;
+	  }
 	/** An order is complete; a host counts as settled in its wave if `isDone` is set. */
 	| {
 			readonly type: 'host-settled';
@@ -169,6 +184,7 @@
 
 const hostEventTypes: ReadonlySet<JournalEvent['type']> = new Set<HostEvent['type']>([
 	'host-ordered',
+	'host-accepted',
 	'host-settled',
 	'hosts-rewritten',
 ]);
