Log how late the timers of a process fire

Cause: after a hand-over on the large deployment, daemons that had restarted did not reach the leader for five seconds, hosts and workers seemed silent to it, and starts took half a second. The lines do not tell a leader that is short of processor time from a network or a platform that is slow.

Change: loop-delayed, at most one line a second, if timers fire 0.1 s late or more. No decision changes.

--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -19,6 +19,7 @@
 import { beginTerm, type LeaderTerm } from './leader/leaderTerm.js';
 import { createTermLeader } from './leader/leadTerm.js';
 import { createLeaderElection, type LeaderElection } from './leadership/leaderElection.js';
+import { monitorLoopDelay } from './loopDelayMonitor.js';
 import { createMemberList } from './leadership/memberList.js';
 import { createPeerNetwork } from './peers/peerNetwork.js';
 import { createRelayedLog } from './relay/relayedLog.js';
@@ -189,6 +190,7 @@
 
 	await network.listen(settings.peerListen);
 	void planCache.run(signal);
+	void monitorLoopDelay({ clock, counters, logDecision }, signal);
 	void register();
 	const electionRun = election.run(signal);
 	electionRun.catch((error: unknown) => {
