--- a/packages/coordinator/src/node/leadership/leaderElection.ts
+++ b/packages/coordinator/src/node/leadership/leaderElection.ts
@@ -13,10 +13,14 @@
 import type { PeerNetwork } from '../peers/peerNetwork.js';
 import { formatLeaderRecord, identityOf, LEADER_KEY, parseLeaderRecord, type LeaderRecord } from './leaderRecord.js';
 import type { MemberList } from './memberList.js';
+import { createPeerQuery, type PeerAnswers } from './peerQuery.js';
 
 /** Delay after an election round without a result. */
 const ELECTION_RETRY_MS = 120;
 
+/** Longest time-out of an attempt to reach a leader to which other daemons have contact. */
+const MAXIMUM_CONTACT_TIMEOUT_MS = 2_000;
+
 /** Random jitter of the candidacy delay, so that several candidates do not append at the same time. */
 const CANDIDACY_JITTER_MS = 60;
 
@@ -93,6 +97,11 @@
 	/** Number of consecutive terms of this daemon that did not begin or failed. */
 	let failedTerms = 0;
 	let previousLeaderSeenAt: number | undefined;
+	/** Number of consecutive rounds in which the leader was not reached although other daemons had contact to it. */
+	let roundsUnreached = 0;
+	/** Aborted when a leader of a later term is known, so that an attempt to reach the former one ends. */
+	let leaderReplaced = new AbortController();
+	const queryPeers = createPeerQuery(options);
 	/** Last suspicion that was logged. A line is written only when it changes. */
 	let lastSuspicion = '';
 	/** Aborted when the leader resigns, so that the wait for its next heartbeat ends. */
@@ -122,6 +131,9 @@
 		logDecision('leader-known', { term: identity.term, leader: identity.entryHost, before: leader?.term });
 		leader = identity;
 		connection = undefined;
+		roundsUnreached = 0;
+		leaderReplaced.abort();
+		leaderReplaced = new AbortController();
 	};
 
 	const readStored = async (signal: AbortSignal): Promise<StoredLeader> => {
@@ -143,16 +155,28 @@
 		return { type, identity, isOwnNewest, end: outcome.end };
 	};
 
+	/**
+	 * Returns the time-out of the next attempt to reach the leader. A leader to which others have contact may be slow to answer,
+	 * and attempts in quick succession make it slower.
+	 */
+	const contactTimeoutMs = (): number =>
+		Math.min(MAXIMUM_CONTACT_TIMEOUT_MS, settings.askPeersMs * 2 ** Math.max(0, roundsUnreached - 1));
+
 	/** Connects to the leader. @returns `denied` when the process there answers that it does not lead this term */
 	const connectToLeader = async (identity: LeaderIdentity): Promise<'reached' | 'denied' | 'unreachable'> => {
+		const timeoutMs = contactTimeoutMs();
+		const greet = async (): Promise<{ opened: PeerConnection; hello: PeerMethods['peer.hello']['result'] }> => {
+			const opened = await network.dial(identity.address, timeoutMs);
+			return { opened, hello: await opened.call('peer.hello', { entryHost: self.entryHost }, timeoutMs) };
+		};
 		try {
-			const opened = await network.dial(identity.address, settings.askPeersMs);
-			const hello = await opened.call('peer.hello', { entryHost: self.entryHost }, settings.askPeersMs);
+			const { opened, hello } = await rejectWhenAborted(greet(), leaderReplaced.signal);
 			opened.session.peerName = hello.entryHost;
 			if (hello.leader?.address !== identity.address || hello.leader.term < identity.term) {
 				return 'denied';
 			}
 			connection = opened;
+			roundsUnreached = 0;
 			lastContactAt = clock.now();
 			return 'reached';
 		} catch {
@@ -162,26 +186,6 @@
 		}
 	};
 
-	const queryPeers = async (): Promise<{ answered: number; knownLeader: LeaderIdentity | undefined }> => {
-		const answers = await Promise.all(
-			members.otherAddresses().map(async address => {
-				try {
-					const peer = await network.dial(address, settings.askPeersMs);
-					return await peer.call('leader.heard', {}, settings.askPeersMs);
-				} catch {
-					network.disconnect(address);
-					return undefined;
-				}
-			}),
-		);
-		const answered = answers.filter(answer => answer !== undefined);
-		const knownLeader = answered
-			.filter(answer => answer.silentForMs < settings.silenceMs && answer.leader !== undefined)
-			.flatMap(answer => (answer.leader === undefined ? [] : [answer.leader]))
-			.sort((left, right) => right.term - left.term)[0];
-		return { answered: answered.length, knownLeader };
-	};
-
 	/** Appends a candidacy record. @returns the identity of this daemon as the leader, if it obtained the term */
 	const appendTerm = async (end: number, signal: AbortSignal): Promise<LeaderIdentity | undefined> => {
 		const record: LeaderRecord = { ...self, term: 0, isResigning: false };
@@ -279,10 +283,10 @@
 		if (!isVacant) {
 			await members.refresh(signal);
 		}
-		const peers = isVacant ? { answered: 0, knownLeader: undefined } : await queryPeers();
+		const peers: PeerAnswers = isVacant ? { answered: 0, knownLeader: undefined } : await queryPeers();
 		const isHeardByPeer =
 			peers.knownLeader !== undefined && peers.knownLeader.term >= knownTerm() && isOtherDaemon(peers.knownLeader);
-		if (isHeardByPeer && peers.knownLeader !== undefined) {
+		if (isHeardByPeer) {
 			adoptLeader(peers.knownLeader);
 		}
 		const facts: CandidacyFacts = {
@@ -293,6 +297,7 @@
 			standstillMs: clock.now() - lastObserved.since,
 		};
 		const decision = decideCandidacy(facts, settings.standstillMs);
+		roundsUnreached = decision === 'follow' ? roundsUnreached + 1 : 0;
 		const suspicion = [decision, stored.type, leader?.term, facts.isDenied, facts.isHeardByPeer].join();
 		if (suspicion !== lastSuspicion) {
 			lastSuspicion = suspicion;
@@ -362,3 +367,12 @@
 		},
 	};
 }
+
+/** Settles like the promise, or rejects when the signal is aborted before. */
+function rejectWhenAborted<Value>(promise: Promise<Value>, signal: AbortSignal): Promise<Value> {
+	return new Promise((resolve, reject) => {
+		const onAbort = (): void => reject(new Error('aborted'));
+		signal.addEventListener('abort', onAbort, { once: true });
+		promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort));
+	});
+}
--- a/packages/coordinator/src/test/leadership.test.ts
+++ b/packages/coordinator/src/test/leadership.test.ts
@@ -133,6 +133,31 @@
 	});
 });
 
+describe('daemons that start while the leader is slow to answer', () => {
+	const OLD = 12;
+	const NEW = 24;
+	let started: LeadershipModel['daemons'];
+
+	beforeEach(async () => {
+		await startAll(...Array.from({ length: OLD }, (_, index) => `old${index}`));
+		leaderDaemon().setAnswerDelay(600);
+		model.calls.clear();
+		started = Array.from({ length: NEW }, (_, index) => model.start(`new${index}`));
+		await time.advance(5_000);
+	});
+
+	// Each attempt to reach the leader ended after 0.25 s, so that these daemons refused their callers for as long as it was slow.
+	it('reach it, and leave it its term', () => {
+		expect(started.filter(({ election }) => election.leaderConnection() === undefined)).toEqual([]);
+		expect(model.terms).toHaveLength(1);
+	});
+
+	// Each of them asked every other daemon again several times a second, which takes processor time from all of them.
+	it('do not ask every other daemon whether it has contact to the leader', () => {
+		expect(model.calls.get('leader.heard') ?? 0).toBeLessThan(NEW * (OLD + NEW - 1));
+	});
+});
+
 const moods: readonly StoreMood[] = ['serve', 'serve', 'refuse', 'lose', 'act-and-lose'];
 const PERIOD_MS = 400;
 const SHORTEST_TERM_MS = 250;
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -43,6 +43,10 @@
 	readonly election: LeaderElection;
 	/** Tells the daemon to stop; it exits once it has handed over its term. */
 	stop(): void;
+	/** Ends the process at once. */
+	kill(): void;
+	/** Delays all answers of the daemon to its peers from now on. */
+	setAnswerDelay(milliseconds: number): void;
 }
 
 /** Daemons that elect a leader over an in-memory store and network. */
@@ -51,6 +55,8 @@
 	readonly terms: readonly ObservedTerm[];
 	/** Times at which leaders stored a batch. */
 	readonly storedAt: readonly number[];
+	/** Number of calls between the daemons, by method. */
+	readonly calls: Map<PeerMethod, number>;
 	/** Starts a further daemon. */
 	start(name: string): ModelDaemon;
 	/** Stops all tasks of the model. */
@@ -165,13 +171,30 @@
 	readonly handlers: () => PeerHandlers;
 	readonly incoming: Set<PeerConnection>;
 	isRunning: boolean;
+	answerDelayMs: number;
 }
 
 /** Creates the network of one daemon. A connection is a pair of call functions, one at each end. */
-function createModelNetwork(address: string, endpoints: ReadonlyMap<string, Endpoint>, time: VirtualTime): PeerNetwork {
+function createModelNetwork(
+	address: string,
+	endpoints: ReadonlyMap<string, Endpoint>,
+	calls: Map<PeerMethod, number>,
+	time: VirtualTime,
+): PeerNetwork {
 	const outgoing = new Map<string, PeerConnection>();
 
 	const createEnd = (target: Endpoint, closed: AbortController): PeerConnection & { lastReceivedAt: number } => {
+		const exchange = async (method: PeerMethod, parameters: unknown): Promise<unknown> => {
+			await time.sleep(NETWORK_DELAY_MS);
+			if (!end.isOpen) {
+				throw new Error('the connection is closed');
+			}
+			const handler = target.handlers()[method] as (parameters: unknown, session: object) => unknown;
+			const answer = await handler(parameters, end.session);
+			await time.sleep(NETWORK_DELAY_MS + target.answerDelayMs);
+			end.lastReceivedAt = time.clock.now();
+			return answer;
+		};
 		const end = {
 			session: { peerName: undefined },
 			lastReceivedAt: time.clock.now(),
@@ -179,16 +202,12 @@
 				return !closed.signal.aborted && target.isRunning;
 			},
 			closed: closed.signal,
-			call: async (method: PeerMethod, parameters: unknown): Promise<never> => {
-				await time.sleep(NETWORK_DELAY_MS);
-				if (!end.isOpen) {
-					throw new Error('the connection is closed');
-				}
-				const handler = target.handlers()[method] as (parameters: unknown, session: object) => unknown;
-				const answer = await handler(parameters, end.session);
-				await time.sleep(NETWORK_DELAY_MS);
-				end.lastReceivedAt = time.clock.now();
-				return answer as never;
+			call: async (method: PeerMethod, parameters: unknown, timeoutMs: number): Promise<never> => {
+				calls.set(method, (calls.get(method) ?? 0) + 1);
+				const timedOut = time.sleep(timeoutMs).then(() => {
+					throw new Error(`no answer within ${timeoutMs} ms`);
+				});
+				return (await Promise.race([exchange(method, parameters), timedOut])) as never;
 			},
 			close: () => closed.abort(),
 		};
@@ -231,6 +250,7 @@
 	const daemons: ModelDaemon[] = [];
 	const terms: ObservedTerm[] = [];
 	const storedAt: number[] = [];
+	const calls = new Map<PeerMethod, number>();
 	const controller = new AbortController();
 	setMaxListeners(0, controller.signal);
 	const random = createSeededRandom(SEED);
@@ -245,7 +265,7 @@
 		const self = { entryHost: name, address, incarnation: `${name}-${startedAt}` };
 		const log = store.logFor(name);
 		const members = createMemberList(log, self);
-		const network = createModelNetwork(address, endpoints, time);
+		const network = createModelNetwork(address, endpoints, calls, time);
 		const draining = new AbortController();
 		let resignBy = Infinity;
 
@@ -332,7 +352,7 @@
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
 			clock,
 		});
-		const endpoint: Endpoint = { handlers: () => handlers, incoming: new Set(), isRunning: true };
+		const endpoint: Endpoint = { handlers: () => handlers, incoming: new Set(), isRunning: true, answerDelayMs: 0 };
 		endpoints.set(address, endpoint);
 
 		const register = async (): Promise<void> => {
@@ -358,10 +378,17 @@
 				draining.abort();
 				void exit();
 			},
+			kill: () => {
+				endpoint.isRunning = false;
+				process.abort();
+			},
+			setAnswerDelay: milliseconds => {
+				endpoint.answerDelayMs = milliseconds;
+			},
 		};
 		daemons.push(daemon);
 		return daemon;
 	};
 
-	return { daemons, terms, storedAt, start, close: () => controller.abort() };
+	return { daemons, terms, storedAt, calls, start, close: () => controller.abort() };
 }
