Read the sockets once more before a call times out

Cause: a call timed out when its timer fired. In a process that was busy for longer than what was left, the timer fires before the answer, which has arrived, is read. The connection was closed and opened again, which cost the leader more of the processor time that it lacked.

Change: when the timer has fired, the call ends only after the sockets have been read once more.

--- a/packages/platform/src/node/httpExchange.ts
+++ b/packages/platform/src/node/httpExchange.ts
@@ -70,6 +70,7 @@
 		const chunks: Buffer[] = [];
 		let received = 0;
 		let timer: NodeJS.Timeout | undefined;
+		let immediate: NodeJS.Immediate | undefined;
 
 		const end = (result: ExchangeResult): void => {
 			if (ended) {
@@ -78,6 +79,7 @@
 			ended = true;
 			signal.removeEventListener('abort', onAbort);
 			clearTimeout(timer);
+			clearImmediate(immediate);
 			resolve(result);
 		};
 		const fail = (fault: ExchangeFault, error: unknown): void => {
@@ -93,7 +95,12 @@
 			return;
 		}
 		if (timeoutMs !== undefined) {
-			timer = setTimeout(() => fail('aborted', new Error(`no answer within ${timeoutMs} ms`)), timeoutMs);
+			const timeOut = (): void => fail('aborted', new Error(`no answer within ${timeoutMs} ms`));
+			timer = setTimeout(() => {
+				// While the process was busy, the timer has expired although the answer has arrived. Sockets are read before the next
+				// immediate callback.
+				immediate = setImmediate(timeOut);
+			}, timeoutMs);
 		}
 		signal.addEventListener('abort', onAbort, { once: true });
 
