Spend less processor time on polls and counters

Change: a timer and a listener in place of the signals, the set only if it is needed, no sorting of a single label.

--- a/packages/base/src/common/counters.ts
+++ b/packages/base/src/common/counters.ts
@@ -29,7 +29,10 @@
 	let refused = 0;
 
 	const keyOf = (name: string, labels: CounterLabels): string => {
-		const pairs = Object.entries(labels).sort(([left], [right]) => left.localeCompare(right));
+		const pairs = Object.entries(labels);
+		if (pairs.length > 1) {
+			pairs.sort(([left], [right]) => left.localeCompare(right));
+		}
 		return pairs.length === 0 ? name : `${name}{${pairs.map(([key, value]) => `${key}=${value}`).join(',')}}`;
 	};
 
--- a/packages/coordinator/src/node/leader/workerPoller.ts
+++ b/packages/coordinator/src/node/leader/workerPoller.ts
@@ -69,12 +69,20 @@
 	};
 
 	/** Waits until the results are stored, because a poll returns at once while results are not acknowledged. */
-	const waitUntilStored = async (stopped: AbortSignal): Promise<void> => {
-		const finished = new AbortController();
-		const stored = whenAllStored().catch(() => counters.add('looks_cut_off_total'));
-		await Promise.race([stored, delay(UNSTORED_RESULTS_DELAY_MS, AbortSignal.any([stopped, finished.signal]))]);
-		finished.abort();
-	};
+	const waitUntilStored = (stopped: AbortSignal): Promise<void> =>
+		new Promise(resolve => {
+			const end = (): void => {
+				clearTimeout(timer);
+				stopped.removeEventListener('abort', end);
+				resolve();
+			};
+			const timer = setTimeout(end, UNSTORED_RESULTS_DELAY_MS);
+			stopped.addEventListener('abort', end, { once: true });
+			whenAllStored().then(end, () => {
+				counters.add('looks_cut_off_total');
+				end();
+			});
+		});
 
 	return {
 		start: (workerKey, address) => {
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -152,10 +152,12 @@
 				endRuns.discard(run, 'averted', now);
 			}
 		}
-		const runningKeys = new Set(listing.running.map(run => runKey(run.task, run.run)));
-		[...state.orphanedRuns.keys()]
-			.filter(key => !runningKeys.has(key) && !state.blockedStarts.has(key))
-			.forEach(key => workers.removeOrphanedRun(state, key));
+		if (state.orphanedRuns.size > 0) {
+			const runningKeys = new Set(listing.running.map(run => runKey(run.task, run.run)));
+			[...state.orphanedRuns.keys()]
+				.filter(key => !runningKeys.has(key) && !state.blockedStarts.has(key))
+				.forEach(key => workers.removeOrphanedRun(state, key));
+		}
 		for (const { task, run } of orphaned) {
 			const key = runKey(task, run);
 			if (!state.orphanedRuns.has(key)) {
