Move the handling of starts out of the worker monitor

No behaviour changes: the decision whether a start may be sent and the answers to starts move to workerStarts.ts. npx vitest run packages/engine: 110 passed.

--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -9,6 +9,9 @@
 /** Longest delay after which an unanswered order may still be executed, in milliseconds, as stated by the platform. */
 export const MAXIMUM_ORDER_DELAY_MS = 12_500;
 
+/** Margin added to the end of a lease, in milliseconds, because timers on the worker may fire late. */
+export const LEASE_MARGIN_MS = 100;
+
 /** Number of tasks that the line about the end of a worker names. */
 const MAXIMUM_LOGGED_TASKS = 6;
 
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -1,28 +1,23 @@
-import { fitsInto, noResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
+import { noResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
 import type {
 	ListedRun,
 	PollOutcome,
 	PollRequest,
 	WorkerOrderOutcome,
-	StartOutcome,
-	StartRefusal,
 	WorkerListing,
 } from '@chestnutwheel/ports/common/workerService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { TaskRun } from '../jobs/job.js';
-import { MAXIMUM_CLOCK_DRIFT, isFromOtherIncarnation, latestLocalTime, estimateWorkerClock } from './workerClock.js';
+import { MAXIMUM_CLOCK_DRIFT, latestLocalTime, estimateWorkerClock } from './workerClock.js';
 import { isCleared } from './crashEvidence.js';
 import { createListedEnds } from './listedEnds.js';
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
 import { createStallDetector } from './stallDetector.js';
-import { parseWorkerKey } from './workerKey.js';
-import { createWorkerIncarnations, MAXIMUM_ORDER_DELAY_MS, type IncarnationEnd } from './workerIncarnations.js';
-import { runKey, type UnansweredStart, type WorkerState } from './workerState.js';
-
-/** Margin added to the end of a lease, in milliseconds, because timers on the worker may fire late. */
-const LEASE_MARGIN_MS = 100;
+import { createWorkerIncarnations, LEASE_MARGIN_MS, type IncarnationEnd } from './workerIncarnations.js';
+import { createWorkerStarts, type WorkerStarts } from './workerStarts.js';
+import { runKey, type WorkerState } from './workerState.js';
 
 /**
  * Time on the worker's clock after the first confirmation of a run from which on a list shows that its start has not crashed
@@ -30,11 +25,8 @@
  */
 const ESTABLISHED_AFTER_MS = 100;
 
-/** Time for which a worker that has refused a start gets no new work, in milliseconds. */
-const REFUSAL_BACKOFF_MS = 1_000;
-
 /** Monitors the workers: creates polls, and evaluates the answers to polls and orders. */
-export interface WorkerMonitor {
+export interface WorkerMonitor extends WorkerStarts {
 	/**
 	 * Creates the next poll of an incarnation.
 	 * @param isSureToLead whether this daemon is certain to lead, so that leases may be extended
@@ -43,12 +35,7 @@
 	pollRequest(key: string, waitMs: number, isSureToLead: boolean, now: number): PollRequest | undefined;
 	/** Whether the incarnation runs tasks that end by themselves. */
 	hasFiniteRuns(key: string): boolean;
-	/** Returns a start's deadline on the worker's clock; `undefined` if it must not be sent. */
-	startDeadline(key: string, task: string, run: number, now: number): number | undefined;
-	/** Handles an unanswered attempt to send a start. @returns whether another attempt may be made */
-	startAttemptUnanswered(key: string, task: string, run: number, now: number): boolean;
 	pollAnswered(key: string, answer: PollOutcome, now: number): void;
-	startAnswered(key: string, task: string, run: number, answer: StartOutcome, now: number): void;
 	stopAnswered(key: string, task: string, run: number, answer: WorkerOrderOutcome, now: number): void;
 	paceAnswered(key: string, task: string, run: number, percent: number, answer: WorkerOrderOutcome): void;
 	/** Ends an incarnation whose runs were terminated by an order to its host. */
@@ -95,22 +82,6 @@
 		}
 	};
 
-	const acceptsWork = (state: WorkerState | undefined): boolean =>
-		state?.entry === undefined || (!state.entry.isDraining && fitsInto(state.usedResources, state.entry.resources));
-
-	/**
-	 * Whether a start may still be sent: workers may have shrunk or begun to drain while it waited for the journal. The members
-	 * of a gang start together or not at all.
-	 */
-	const mayStillStart = ({ task, run, workerKey }: TaskRun): boolean => {
-		const { spec, tasks } = task.step;
-		if (!spec.isGang) {
-			return acceptsWork(workers.get(workerKey));
-		}
-		const members = tasks.flatMap(({ runs }) => runs.filter(other => other.run === run));
-		return members.length === tasks.length && members.every(member => acceptsWork(workers.get(member.workerKey)));
-	};
-
 	const confirmRun = (state: WorkerState, run: TaskRun, listed: ListedRun, clockMs: number, now: number): void => {
 		const isFirst = run.confirmedAt === undefined;
 		run.confirmedAt ??= now;
@@ -192,84 +163,8 @@
 		applyListing(state, listing, now);
 	};
 
-	const refusalHandlers: Record<StartRefusal, (state: WorkerState, run: TaskRun, now: number) => void> = {
-		fenced: state =>
-			context.emitNow({ type: 'deposed', reason: `worker ${state.worker} has seen a higher fencing token` }),
-		'old-run': (_state, run) => {
-			run.task.lastRun++;
-		},
-		late: () => undefined,
-		'no-room': (state, _run, now) => {
-			state.avoidUntil = now + REFUSAL_BACKOFF_MS;
-		},
-		ticket: (state, run) => context.advice.discardTicket(run.task.step, state.worker),
-		'unknown-task': (_state, run, now) => {
-			run.task.notBefore = now + REFUSAL_BACKOFF_MS;
-		},
-		unhealthy: (state, _run, now) => {
-			state.avoidUntil = now + REFUSAL_BACKOFF_MS;
-		},
-		unreachable: (state, _run, now) => markUnreachable(state, 'no connection', now),
-	};
-
-	/** Records a start that the worker may still execute, in this incarnation or a later one. */
-	const recordUnansweredStart = (state: WorkerState, task: string, run: number, now: number): UnansweredStart => {
-		const unanswered: UnansweredStart = { task, runNumber: run, expiresAt: now + MAXIMUM_ORDER_DELAY_MS };
-		state.unansweredStarts = [...state.unansweredStarts.filter(({ expiresAt }) => now < expiresAt), unanswered];
-		return unanswered;
-	};
-
-	const startAnswerHandlers: {
-		readonly [Type in StartOutcome['type']]: (
-			state: WorkerState,
-			run: TaskRun,
-			answer: Extract<StartOutcome, { type: Type }>,
-			now: number,
-		) => void;
-	} = {
-		started: (state, run, { clockMs }, now) => {
-			if (isFromOtherIncarnation(state, clockMs, now)) {
-				// The worker has restarted and runs the task in a new incarnation, which has not been listed yet.
-				note('start-met-new-life', { task: run.task.name, run: run.run, worker: state.key, clockMs });
-				run.phase = 'unsure';
-				recordUnansweredStart(state, run.task.name, run.run, now);
-				return;
-			}
-			recordAnswer(state, clockMs, now);
-			if (run.confirmedAt === undefined) {
-				context.startDelay.record(now - run.decidedAt);
-			}
-			run.firstClockMs ??= clockMs;
-			run.confirmedClockMs = Math.max(run.confirmedClockMs ?? 0, clockMs);
-			run.confirmedAt ??= now;
-			if (run.phase === 'starting' || run.phase === 'unsure') {
-				run.phase = 'running';
-			}
-		},
-		'not-started': (state, run, { reason, clockMs }, now) => {
-			if (reason !== 'unreachable') {
-				recordAnswer(state, clockMs, now);
-			}
-			counters.add('starts_refused_total', { reason });
-			note('start-refused', { task: run.task.name, run: run.run, worker: state.key, reason, clockMs });
-			endRuns.discard(run, `refused-${reason}`, now);
-			refusalHandlers[reason](state, run, now);
-		},
-		'other-worker': (state, _run, _answer, now) => {
-			note('address-reused', { worker: state.key });
-			endIncarnation(state, 'address-reused', now);
-		},
-		silent: (state, run, { reason }, now) => {
-			counters.add('starts_unanswered_total');
-			note('start-unanswered', { task: run.task.name, run: run.run, worker: state.key, reason });
-			if (run.phase === 'starting') {
-				run.phase = 'unsure';
-			}
-			markUnreachable(state, reason, now);
-		},
-	};
-
 	return {
+		...createWorkerStarts(context, endRuns, incarnations),
 		endIncarnation,
 		monitor: (state, now) => {
 			incarnations.endOlderIncarnations(state, now);
@@ -294,36 +189,6 @@
 			return { fencingToken: context.term, acknowledged, leaseUntilMs, waitMs };
 		},
 		hasFiniteRuns: key => [...(workers.get(key)?.runs.values() ?? [])].some(({ task }) => !task.step.spec.isLasting),
-		startDeadline: (key, task, run, now) => {
-			const state = workers.get(key);
-			const known = findRun(key, task, run);
-			const clockMs = state === undefined ? undefined : estimateWorkerClock(state, now);
-			if (state === undefined || state.hasEnded || known?.phase !== 'starting' || clockMs === undefined) {
-				return undefined;
-			}
-			if (!mayStillStart(known)) {
-				note('start-withheld', { task, run, worker: key, isDraining: state.entry?.isDraining });
-				return undefined;
-			}
-			known.startByMs = Math.round(clockMs + settings.startWindowMs);
-			const latest = latestLocalTime(state, known.startByMs) ?? 0;
-			state.leaseEndsBy = Math.max(state.leaseEndsBy, latest + LEASE_MARGIN_MS);
-			return known.startByMs;
-		},
-		startAttemptUnanswered: (key, task, run, now) => {
-			const { worker } = parseWorkerKey(key);
-			const state = workers.get(key);
-			const newest = workers.byName(worker);
-			if (newest === undefined) {
-				return false;
-			}
-			const unanswered = recordUnansweredStart(newest, task, run, now);
-			if (newest !== state) {
-				incarnations.blockStart(newest, task, run, undefined, unanswered.expiresAt);
-				return false;
-			}
-			return !state.hasEnded && state.runs.get(runKey(task, run))?.phase === 'starting';
-		},
 		pollAnswered: (key, answer, now) => {
 			const state = workers.get(key);
 			if (state === undefined || context.term === undefined) {
@@ -340,18 +205,6 @@
 				markUnreachable(state, answer.reason, now);
 			}
 		},
-		startAnswered: (key, task, runNumber, answer, now) => {
-			const state = workers.get(key);
-			const run = findRun(key, task, runNumber);
-			if (state !== undefined && run !== undefined) {
-				(startAnswerHandlers[answer.type] as (s: WorkerState, r: TaskRun, a: StartOutcome, n: number) => void)(
-					state,
-					run,
-					answer,
-					now,
-				);
-			}
-		},
 		stopAnswered: (key, task, runNumber, answer, now) => {
 			const state = workers.get(key);
 			if (state === undefined || answer.type !== 'done') {
