Treat the entries of workers as claims of their writers

What was seen: an entry of another writer under the key of a living worker, with a whole start time beyond all clocks, kept the worker without work for the rest of its life. By a test: the runs of the worker were given up and started again while they ran. An entry under another key that named a host hid the worker on it, so that the host was ordered down with a service task on it. An entry with another pool or more resources sent tasks where they may not run. An entry with a huge room made an overload acceptable.

Cause: every field of an entry was taken for a fact. The entry with the greatest start time ended all other incarnations of its worker, and the one with the greatest start time that named a host was its worker.

Change: an incarnation is current once the worker itself has said so in an answer, and only such an answer ends the others. Until then the newest entry is polled, one for each worker. Host, pool, resources and labels come from the host service where it lists the worker; the address of a confirmed incarnation stays. Of the workers that name a host the one that answers is taken, then the one that the host service lists. Workers that neither answer nor are listed there are no capacity. An entry that cannot be decoded holds an answering worker up for no more than until its next own entry; after 3 s it counts as missing. A worker that restarts after its clock was set back is found as well.

--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -104,8 +104,8 @@
 			}
 			hostMaintenance.takeOver(now);
 			context.recordTermBegin(now);
-			for (const state of context.workers.newest()) {
-				monitor.monitor(state, now);
+			for (const state of context.workers.current()) {
+				monitor.monitor(state);
 			}
 			context.needsSchedulingPass = true;
 		},
@@ -139,7 +139,7 @@
 					context.counters.add('worker_entries_unreadable_total');
 				}
 				if (state !== undefined && context.term !== undefined) {
-					monitor.monitor(state, now);
+					monitor.monitor(state);
 				}
 			}
 			if (names !== undefined) {
@@ -152,7 +152,12 @@
 			context.needsSchedulingPass = true;
 		},
 		wavesChanged: (waves, now) => hostMaintenance.addWaves(waves, now),
-		hostsListed: (list, now) => hostMaintenance.handleHostList(list, now),
+		hostsListed: (list, now) => {
+			if (list !== undefined) {
+				context.workers.applyHostList(list);
+			}
+			hostMaintenance.handleHostList(list, now);
+		},
 		hostOrderAnswered: (host, answer, now) => hostMaintenance.handleOrderAnswer(host, answer, now),
 		mayRepeatStop: (workerKey, task, run, now) => hostMaintenance.mayRepeatStop(workerKey, task, run, now),
 		expectsWorker: now => hostMaintenance.expectsWorker(now),
--- a/packages/engine/src/common/hosts/evacuation.ts
+++ b/packages/engine/src/common/hosts/evacuation.ts
@@ -114,7 +114,7 @@
 	/** Whether a worker of the pool that is not due for maintenance can receive a service task. */
 	const hasRoomOutsideWave = ({ task }: TaskRun, pool: string | undefined, dueHosts: ReadonlySet<string>): boolean => {
 		const { spec } = task.step;
-		for (const state of context.workers.newest()) {
+		for (const state of context.workers.current()) {
 			const { entry, key, usedResources, reachability, isListed, hasEnded } = state;
 			if (
 				entry?.pool === pool &&
--- a/packages/engine/src/common/hosts/hostController.ts
+++ b/packages/engine/src/common/hosts/hostController.ts
@@ -65,7 +65,7 @@
 
 	/** Evacuates workers that drain by themselves, as far as time allows. */
 	const evacuateDrainingWorkers = (now: number): void => {
-		for (const state of workers.newest()) {
+		for (const state of workers.current()) {
 			if (state.entry?.isDraining === true && !state.hasEnded) {
 				evacuation.moveServiceTasks(state, now);
 			}
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -1,7 +1,6 @@
 import type { HostOrderOutcome, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { HostAction } from '../jobs/journalEvent.js';
-import type { WorkerState } from '../workers/workerState.js';
 import type { WorkerMonitor } from '../workers/workerMonitor.js';
 import { standbyPools } from '../pools/standbyPools.js';
 import type { Evacuation } from './evacuation.js';
@@ -60,14 +59,6 @@
 export function createHostOrders(context: EngineContext, evacuation: Evacuation, monitor: WorkerMonitor): HostOrders {
 	const { hosts, workers, logDecision: note, counters } = context;
 
-	const workerOnHost = (host: string): WorkerState | undefined => {
-		const listed = hosts.hosts.get(host);
-		const named = listed === undefined || listed.worker === '' ? undefined : workers.byName(listed.worker);
-		const found = workers.byHost(host);
-		const newer = found === undefined || (named !== undefined && named.incarnation > found.incarnation) ? named : found;
-		return newer?.hasEnded === true ? undefined : newer;
-	};
-
 	/** Whether a host without a known worker has none that is yet to be discovered; only then may it be ordered. */
 	const isKnownWithoutWorker = (host: string): boolean => {
 		const listed = hosts.hosts.get(host);
@@ -100,7 +91,7 @@
 
 	const journalOrder = (order: HostOrder, now: number): void => {
 		const { host, action } = order;
-		order.workerKey = workerOnHost(host)?.key;
+		order.workerKey = workers.byHost(host)?.key;
 		if (order.isJournaled) {
 			enterPhase(order, 'ordering', now);
 			return;
@@ -113,7 +104,7 @@
 
 	const send = (order: HostOrder, now: number): void => {
 		order.isInFlight = true;
-		const state = workerOnHost(order.host);
+		const state = workers.byHost(order.host);
 		if (!order.isRetry) {
 			// The worker may have restarted since the order was journaled.
 			order.workerKey = state?.key;
@@ -161,7 +152,7 @@
 			settle(order, true, 'carried-out-before', now);
 			return;
 		}
-		const state = workerOnHost(order.host);
+		const state = workers.byHost(order.host);
 		if (state === undefined) {
 			if (now >= earliestSendTime(order) && isKnownWithoutWorker(order.host)) {
 				journalOrder(order, now);
@@ -209,7 +200,7 @@
 	const hasReturned = (order: HostOrder, listed: ListedHost, now: number): boolean => {
 		const isThere = listed.state === 'up' && (order.action.type === 'upkeep' || listed.pool === order.action.pool);
 		const isListNewer = (hosts.listRequestedAt ?? 0) >= order.phaseSince;
-		const state = workerOnHost(order.host);
+		const state = workers.byHost(order.host);
 		return (
 			isThere &&
 			isListNewer &&
--- a/packages/engine/src/common/hosts/maintenanceWaves.ts
+++ b/packages/engine/src/common/hosts/maintenanceWaves.ts
@@ -50,8 +50,9 @@
 	const poolUtilisation = (pool: string): number => {
 		let utilisation = 0;
 		let count = 0;
-		for (const { entry, usedResources, hasEnded, isListed } of workers.newest()) {
-			if (entry?.pool === pool && !hasEnded && isListed) {
+		for (const state of workers.current()) {
+			const { entry, usedResources, hasEnded, isListed } = state;
+			if (entry?.pool === pool && !hasEnded && isListed && workers.isCertain(state)) {
 				utilisation += dominantShare(usedResources, entry.resources);
 				count++;
 			}
--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -52,7 +52,9 @@
 
 	/** Describes the first step that is too large for every worker of the pool; `undefined` if all steps may fit. */
 	const findUnplaceableStep = (spec: JobSpec, { pool }: QueuePlan): string | undefined => {
-		const capacities = [...workers.newest()].flatMap(({ entry }) => (entry?.pool === pool ? [entry.resources] : []));
+		const capacities = [...workers.current()].flatMap(state =>
+			state.entry?.pool === pool && workers.isCertain(state) ? [state.entry.resources] : [],
+		);
 		if (capacities.length === 0) {
 			return undefined;
 		}
@@ -80,8 +82,10 @@
 	const poolCapacity = (pool: string): Resources => {
 		const standby = standbyPools(context.plan);
 		let capacity = noResources;
-		for (const { entry, isListed, hasEnded: isOver, reachability: contact } of workers.newest()) {
-			if (entry?.pool === pool && isListed && !isOver && !entry.isDraining && contact !== 'silent') {
+		for (const state of workers.current()) {
+			const { entry, isListed, hasEnded, reachability } = state;
+			const isServing = isListed && !hasEnded && reachability !== 'silent' && workers.isCertain(state);
+			if (entry?.pool === pool && !entry.isDraining && isServing) {
 				capacity = addResources(capacity, entry.resources);
 			}
 		}
--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -71,7 +71,7 @@
 	const mayPlan = (now: number): boolean =>
 		hosts.listRequestedAt !== undefined &&
 		workers.hasReadEntries &&
-		(now >= context.termBeganAt + NEW_LEADER_GRACE_MS || ![...workers.newest()].some(isReachabilityUnknown));
+		(now >= context.termBeganAt + NEW_LEADER_GRACE_MS || ![...workers.current()].some(isReachabilityUnknown));
 
 	/** Counts the waiting tasks of a step that fit below its team's cap. */
 	const countWithinCap = (step: Step, usageByTeam: Map<string, Resources>): number => {
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -64,7 +64,7 @@
 	const schedulableWorkers = (pool: string, dueHosts: ReadonlySet<string>, now: number): SchedulableWorker[] => {
 		const open: SchedulableWorker[] = [];
 		const quarantined: SchedulableWorker[] = [];
-		for (const state of workers.newest()) {
+		for (const state of workers.current()) {
 			const { entry } = state;
 			if (
 				entry?.pool !== pool ||
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -4,6 +4,7 @@
 import type { RunTerminator } from '../jobs/runTerminator.js';
 import type { TaskRun } from '../jobs/job.js';
 import { crashEvidence, type WorkerLoss } from './crashEvidence.js';
+import { isConfirmed } from './entryClaims.js';
 import { runKey, type WorkerState } from './workerState.js';
 
 /** Longest delay after which an unanswered order may still be executed, in milliseconds, as stated by the platform. */
@@ -43,8 +44,8 @@
 	recordLoss(state: WorkerState, loss: WorkerLoss, now: number): void;
 	/** Orders an incarnation to refuse a start that may still reach it. */
 	blockStart(state: WorkerState, task: string, runNumber: number, run: TaskRun | undefined, expiresAt: number): void;
-	/** Ends all earlier incarnations of the same worker. */
-	endOlderIncarnations(current: WorkerState, now: number): void;
+	/** Makes an incarnation the current one, because the worker itself has said so, and ends all others of the worker. */
+	confirm(state: WorkerState, now: number): void;
 }
 
 /** Creates the component that tracks the incarnations of workers. */
@@ -64,12 +65,23 @@
 		}
 	};
 
+	/** Polls no further incarnation that only an entry has claimed, so that many such entries cost no more than one. */
+	const stopMonitoringOtherClaims = (state: WorkerState): void => {
+		for (const other of workers.incarnationsOf(state.worker)) {
+			const isIdle = other.runs.size + other.blockedStarts.size === 0;
+			if (other !== state && isIdle && !isConfirmed(other) && workers.byName(state.worker) !== other) {
+				stopMonitoring(other);
+			}
+		}
+	};
+
 	const monitor = (state: WorkerState): void => {
 		const { entry } = state;
 		if (entry === undefined || state.hasEnded || monitoredAddresses.get(state.key)?.address === entry.address) {
 			return;
 		}
 		stopMonitoring(state);
+		stopMonitoringOtherClaims(state);
 		const address = { worker: state.worker, address: entry.address };
 		monitoredAddresses.set(state.key, address);
 		context.emitNow({ type: 'watch', workerKey: state.key, address });
@@ -154,12 +166,14 @@
 		[...state.orphanedRuns.keys()].forEach(key => workers.removeOrphanedRun(state, key));
 	};
 
-	const endOlderIncarnations = (current: WorkerState, now: number): void => {
-		for (const state of [...workers.all()]) {
-			if (state !== current && state.worker === current.worker && state.incarnation < current.incarnation) {
-				if (state.runs.size + state.orphanedRuns.size > 0 || monitoredAddresses.has(state.key)) {
-					endIncarnation(state, 'worker-restarted', now);
+	const confirm = (state: WorkerState, now: number): void => {
+		workers.confirm(state);
+		for (const other of workers.incarnationsOf(state.worker)) {
+			if (other !== state && !other.hasEnded) {
+				if (other.runs.size + other.orphanedRuns.size > 0 || monitoredAddresses.has(other.key)) {
+					endIncarnation(other, 'worker-restarted', now);
 				}
+				other.hasEnded = true;
 			}
 		}
 	};
@@ -202,6 +216,6 @@
 		endIncarnation,
 		recordLoss,
 		blockStart,
-		endOlderIncarnations,
+		confirm,
 	};
 }
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -11,6 +11,7 @@
 import type { TaskRun } from '../jobs/job.js';
 import { MAXIMUM_CLOCK_DRIFT, latestLocalTime, estimateWorkerClock } from './workerClock.js';
 import { isCleared } from './crashEvidence.js';
+import { isConfirmed } from './entryClaims.js';
 import { createListedEnds } from './listedEnds.js';
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
@@ -41,7 +42,7 @@
 	/** Ends an incarnation whose runs were terminated by an order to its host. */
 	endIncarnation(state: WorkerState, reason: IncarnationEnd, now: number): void;
 	/** Starts to monitor an incarnation, or continues at its new address. */
-	monitor(state: WorkerState, now: number): void;
+	monitor(state: WorkerState): void;
 	/** Gives up runs on unreachable workers whose leases have expired, and removes incarnations that have ended. */
 	expireLeases(now: number): void;
 	/** Allows run ends recorded up to the given journal batch to be acknowledged. */
@@ -140,19 +141,37 @@
 		}
 	};
 
+	/** The worker says that it is another incarnation: it has restarted, or the entry was not its own. */
+	const handleOtherIncarnation = (state: WorkerState, incarnation: number, now: number): void => {
+		const other = workers.getOrCreate(state.worker, incarnation);
+		if (other.hasEnded) {
+			return;
+		}
+		if (other.claimedEntry === undefined && state.claimedEntry !== undefined) {
+			const change = { key: state.worker, offset: 0, value: { ...state.claimedEntry, incarnation } };
+			workers.applyEntryChange(change, now);
+		}
+		note('worker-restarted', {
+			worker: state.worker,
+			life: incarnation,
+			former: state.incarnation,
+			runs: state.runs.size,
+		});
+		incarnations.confirm(other, now);
+		incarnations.monitor(other);
+	};
+
 	const handleListing = (state: WorkerState, listing: WorkerListing, now: number): void => {
+		if (state.hasEnded) {
+			return;
+		}
 		if (listing.incarnation !== state.incarnation) {
-			const successor = workers.getOrCreate(state.worker, listing.incarnation);
-			if (successor.hasEnded) {
-				return;
-			}
-			successor.entry ??= state.entry === undefined ? undefined : { ...state.entry, incarnation: listing.incarnation };
-			successor.isListed ||= state.isListed;
-			note('worker-restarted', { worker: state.worker, life: listing.incarnation, runs: state.runs.size });
-			incarnations.endOlderIncarnations(successor, now);
-			incarnations.monitor(successor);
+			handleOtherIncarnation(state, listing.incarnation, now);
 			return;
 		}
+		if (!isConfirmed(state) || workers.byName(state.worker) !== state) {
+			incarnations.confirm(state, now);
+		}
 		if (listing.clockMs < (state.clock?.clockMs ?? 0)) {
 			counters.add('listings_overtaken_total');
 			return;
@@ -166,10 +185,7 @@
 	return {
 		...createWorkerStarts(context, endRuns, incarnations),
 		endIncarnation,
-		monitor: (state, now) => {
-			incarnations.endOlderIncarnations(state, now);
-			incarnations.monitor(state);
-		},
+		monitor: state => incarnations.monitor(state),
 		pollRequest: (key, waitMs, isSureToLead, now) => {
 			const state = workers.get(key);
 			if (state === undefined || context.term === undefined || !incarnations.isMonitored(state)) {
--- a/packages/engine/src/common/workers/workerState.ts
+++ b/packages/engine/src/common/workers/workerState.ts
@@ -36,10 +36,14 @@
 	readonly key: string;
 	readonly worker: string;
 	readonly incarnation: number;
-	/** Newest entry in the store; `undefined` if only the journal names this incarnation. */
+	/** Newest entry in the store as its writer claims it; `undefined` if only the journal names this incarnation. */
+	claimedEntry: WorkerEntry | undefined;
+	/** That entry, corrected by what is known for certain of the worker. */
 	entry: WorkerEntry | undefined;
 	/** Whether the store currently lists this incarnation. */
 	isListed: boolean;
+	/** Time since which the entry cannot be decoded; `undefined` while it can. */
+	unreadableSince: number | undefined;
 	/** Time when the entry disappeared from the store; `undefined` while it is listed. */
 	unlistedSince: number | undefined;
 	/** Whether this incarnation is over, for instance because the worker has restarted. */
@@ -101,8 +105,10 @@
 		key: workerKey(worker, incarnation),
 		worker,
 		incarnation,
+		claimedEntry: undefined,
 		entry: undefined,
 		isListed: false,
+		unreadableSince: undefined,
 		unlistedSince: undefined,
 		hasEnded: false,
 		reachability: 'unknown',
--- a/packages/engine/src/common/workers/workerTable.ts
+++ b/packages/engine/src/common/workers/workerTable.ts
@@ -1,10 +1,18 @@
 import type { FeedChange } from '@chestnutwheel/ports/common/feeds.js';
+import type { ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import { addResources, noResources, subtractResources, type Resources } from '@chestnutwheel/ports/common/resources.js';
 import type { WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
 import type { TaskRun } from '../jobs/job.js';
+import { compareOccupants, correctEntry, isConfirmed } from './entryClaims.js';
 import { parseWorkerKey } from './workerKey.js';
 import { createWorkerState, runKey, type WorkerState } from './workerState.js';
 
+/**
+ * Time for which the last valid entry of a worker that answers holds after another writer has overwritten it, in milliseconds.
+ * Workers write about every 1.5 s.
+ */
+const UNREADABLE_ENTRY_GRACE_MS = 3_000;
+
 /**
  * Returns the resources a run takes on its worker. Best-effort tasks use only processor time that others leave idle.
  */
@@ -13,25 +21,37 @@
 	return fills ? { ...demand, milliCores: 0 } : demand;
 }
 
-/** The incarnations of all workers, with the resources that runs may use on them. */
+/**
+ * The incarnations of all workers, with the resources that runs may use on them. The current incarnation of a worker is the
+ * one that the worker itself has confirmed; as long as it has confirmed none, the one that its newest entry claims. An entry
+ * alone never ends an incarnation, since it may come from another writer.
+ */
 export interface WorkerTable {
-	/** Returns the newest incarnation of each worker that is listed or may still run something. */
-	newest(): IterableIterator<WorkerState>;
+	/** Returns the current incarnation of each worker. */
+	current(): IterableIterator<WorkerState>;
 	all(): IterableIterator<WorkerState>;
 	get(key: string): WorkerState | undefined;
-	/** Returns the newest incarnation of a worker. */
+	/** Returns the current incarnation of a worker. */
 	byName(worker: string): WorkerState | undefined;
+	/** Returns all known incarnations of a worker. */
+	incarnationsOf(worker: string): readonly WorkerState[];
 	/**
-	 * Returns the newest incarnation on a host that has not ended. Entries of a worker whose host has moved away may
+	 * Returns the worker on a host that has not ended, as far as it is known. Entries of a worker whose host has moved away may
 	 * still be listed.
 	 */
 	byHost(host: string): WorkerState | undefined;
-	/** Returns the state of an incarnation, creating it if needed. A newer incarnation ends the older ones. */
+	/** Whether a worker exists for certain: it answers, or the host service lists it. An entry alone may name none. */
+	isCertain(state: WorkerState): boolean;
+	/** Returns the state of an incarnation, creating it if needed. */
 	getOrCreate(worker: string, incarnation: number): WorkerState;
+	/** Makes an incarnation the current one, because the worker itself has confirmed it. */
+	confirm(state: WorkerState): void;
 	/** Applies a change of the workers' entries. @returns the incarnation affected by the change */
 	applyEntryChange(change: FeedChange<WorkerEntry>, now: number): WorkerState | undefined;
 	/** Applies a full read of the store: entries that are not among the names have been removed. */
 	applyFullRead(names: ReadonlySet<string>, now: number): void;
+	/** Applies a list of the hosts, by which entries are corrected. */
+	applyHostList(hosts: readonly ListedHost[]): void;
 	/** Whether the entries have been read in full at least once. */
 	readonly hasReadEntries: boolean;
 	addRun(run: TaskRun): void;
@@ -46,9 +66,13 @@
 /** Creates a table without workers. */
 export function createWorkerTable(): WorkerTable {
 	const incarnations = new Map<string, WorkerState>();
-	const newestByName = new Map<string, WorkerState>();
+	const incarnationsByName = new Map<string, Set<WorkerState>>();
+	const currentByName = new Map<string, WorkerState>();
 	/** Names of the workers that were seen on a host and have not been removed yet. */
 	const namesByHost = new Map<string, Set<string>>();
+	/** Hosts by the worker that the host service lists on them. */
+	let listedByWorker: ReadonlyMap<string, ListedHost> = new Map();
+	let listedWorkers: ReadonlyMap<string, string> = new Map();
 	let hasReadEntries = false;
 
 	const getOrCreate = (worker: string, incarnation: number): WorkerState => {
@@ -58,36 +82,67 @@
 			return known;
 		}
 		incarnations.set(state.key, state);
-		const previous = newestByName.get(worker);
-		if (previous === undefined || previous.incarnation < incarnation) {
-			newestByName.set(worker, state);
-			if (previous !== undefined) {
-				previous.hasEnded = true;
-				previous.isListed = false;
-			}
-		} else {
-			state.hasEnded = true;
+		const ofWorker = incarnationsByName.get(worker) ?? new Set();
+		incarnationsByName.set(worker, ofWorker.add(state));
+		const current = currentByName.get(worker);
+		if (current === undefined || (current.claimedEntry === undefined && current.incarnation < incarnation)) {
+			currentByName.set(worker, state);
 		}
 		return state;
 	};
 
-	const recordHost = (worker: string, host: string): void => {
-		const names = namesByHost.get(host) ?? new Set();
-		namesByHost.set(host, names.add(worker));
+	const removeFromHost = (worker: string, host: string): void => {
+		const names = namesByHost.get(host);
+		names?.delete(worker);
+		if (names?.size === 0) {
+			namesByHost.delete(host);
+		}
 	};
 
-	const removeFromHost = ({ worker, entry }: WorkerState): void => {
-		const names = entry === undefined ? undefined : namesByHost.get(entry.host);
-		names?.delete(worker);
-		if (names?.size === 0 && entry !== undefined) {
-			namesByHost.delete(entry.host);
+	const applyClaim = (state: WorkerState, claimed: WorkerEntry): void => {
+		const before = state.entry;
+		const entry = correctEntry(claimed, listedByWorker.get(state.worker), state);
+		state.claimedEntry = claimed;
+		state.entry = entry;
+		if (before !== undefined && before.host !== entry.host) {
+			removeFromHost(state.worker, before.host);
 		}
+		namesByHost.set(entry.host, (namesByHost.get(entry.host) ?? new Set()).add(state.worker));
+	};
+
+	const markListed = (state: WorkerState): void => {
+		state.isListed = true;
+		state.unlistedSince = undefined;
+		state.unreadableSince = undefined;
 	};
 
 	const markUnlisted = (state: WorkerState, now: number): void => {
-		if (state.isListed) {
-			state.isListed = false;
-			state.unlistedSince = now;
+		state.isListed = false;
+		state.unlistedSince ??= now;
+		state.unreadableSince = undefined;
+	};
+
+	const incarnationsOf = (worker: string): readonly WorkerState[] => [...(incarnationsByName.get(worker) ?? [])];
+
+	const applyMissingEntry = (worker: string, now: number): WorkerState | undefined => {
+		incarnationsOf(worker).forEach(state => markUnlisted(state, now));
+		return currentByName.get(worker);
+	};
+
+	/** An unreadable entry says nothing of the worker. It counts as missing if the worker does not answer, or stays unreadable. */
+	const applyUnreadableEntry = (worker: string, now: number): WorkerState | undefined => {
+		const state = currentByName.get(worker);
+		if (state?.isListed !== true || state.reachability !== 'answering') {
+			return applyMissingEntry(worker, now);
+		}
+		state.unreadableSince ??= now;
+		return state;
+	};
+
+	const confirm = (state: WorkerState): void => {
+		currentByName.set(state.worker, state);
+		if (state.claimedEntry !== undefined) {
+			markListed(state);
 		}
 	};
 
@@ -96,42 +151,63 @@
 			state.runs.size + state.orphanedRuns.size === 0 ? noResources : subtractResources(state.usedResources, demand);
 	};
 
+	const remove = (state: WorkerState): void => {
+		incarnations.delete(state.key);
+		incarnationsByName.get(state.worker)?.delete(state);
+		if (currentByName.get(state.worker) !== state) {
+			return;
+		}
+		currentByName.delete(state.worker);
+		if (state.entry !== undefined) {
+			removeFromHost(state.worker, state.entry.host);
+		}
+		const [next] = incarnationsOf(state.worker);
+		if (next === undefined) {
+			incarnationsByName.delete(state.worker);
+		} else {
+			currentByName.set(state.worker, next);
+		}
+	};
+
 	return {
-		newest: () => newestByName.values(),
+		current: () => currentByName.values(),
 		all: () => incarnations.values(),
 		get: key => incarnations.get(key),
-		byName: worker => newestByName.get(worker),
+		byName: worker => currentByName.get(worker),
+		incarnationsOf,
 		byHost: host => {
-			let found: WorkerState | undefined;
-			for (const name of namesByHost.get(host) ?? []) {
-				const state = newestByName.get(name);
-				if (
-					state?.hasEnded === false &&
-					state.entry !== undefined &&
-					state.incarnation > (found?.incarnation ?? -Infinity)
-				) {
-					found = state;
-				}
-			}
-			return found;
+			const listedWorker = listedWorkers.get(host);
+			const names = new Set([...(namesByHost.get(host) ?? []), ...(listedWorker === undefined ? [] : [listedWorker])]);
+			return [...names]
+				.flatMap(name => currentByName.get(name) ?? [])
+				.filter(({ hasEnded, entry, worker }) => !hasEnded && (entry?.host === host || worker === listedWorker))
+				.sort((left, right) => compareOccupants(left, right, listedWorker))[0];
 		},
+		isCertain: ({ reachability, worker }) => reachability === 'answering' || listedByWorker.has(worker),
 		getOrCreate,
+		confirm,
 		applyEntryChange: ({ key, value }, now) => {
-			if (value === undefined || value === 'unreadable') {
-				const state = newestByName.get(key);
-				if (state !== undefined) {
-					markUnlisted(state, now);
-				}
-				return state;
+			if (value === undefined) {
+				return applyMissingEntry(key, now);
+			}
+			if (value === 'unreadable') {
+				return applyUnreadableEntry(key, now);
 			}
 			const state = getOrCreate(value.worker, value.incarnation);
 			if (state.hasEnded) {
 				return state;
 			}
-			state.entry = value;
-			recordHost(value.worker, value.host);
-			state.isListed = true;
-			state.unlistedSince = undefined;
+			applyClaim(state, value);
+			const current = currentByName.get(state.worker);
+			if (current === state) {
+				markListed(state);
+			} else if (current === undefined || !isConfirmed(current) || current.reachability !== 'answering') {
+				currentByName.set(state.worker, state);
+				markListed(state);
+			}
+			incarnationsOf(state.worker)
+				.filter(other => other !== state && other !== currentByName.get(state.worker))
+				.forEach(other => markUnlisted(other, now));
 			return state;
 		},
 		get hasReadEntries() {
@@ -139,9 +215,21 @@
 		},
 		applyFullRead: (names, now) => {
 			hasReadEntries = true;
-			for (const state of newestByName.values()) {
+			for (const state of currentByName.values()) {
 				if (!names.has(state.worker)) {
-					markUnlisted(state, now);
+					applyMissingEntry(state.worker, now);
+				}
+			}
+		},
+		applyHostList: hosts => {
+			const occupied = hosts.filter(({ worker }) => worker !== '');
+			listedByWorker = new Map(occupied.map(host => [host.worker, host]));
+			listedWorkers = new Map(occupied.map(({ host, worker }) => [host, worker]));
+			for (const worker of listedByWorker.keys()) {
+				for (const state of incarnationsByName.get(worker) ?? []) {
+					if (state.claimedEntry !== undefined) {
+						applyClaim(state, state.claimedEntry);
+					}
 				}
 			}
 		},
@@ -177,14 +265,13 @@
 		prune: (now, goneAfterMs) => {
 			const removed: WorkerState[] = [];
 			for (const state of incarnations.values()) {
+				if (state.unreadableSince !== undefined && now - state.unreadableSince > UNREADABLE_ENTRY_GRACE_MS) {
+					markUnlisted(state, now);
+				}
 				const hasDisappeared = state.unlistedSince !== undefined && now - state.unlistedSince > goneAfterMs;
 				const isIdle = state.runs.size + state.orphanedRuns.size + state.blockedStarts.size === 0;
 				if (isIdle && (state.hasEnded || (hasDisappeared && state.reachability !== 'answering'))) {
-					incarnations.delete(state.key);
-					if (newestByName.get(state.worker) === state) {
-						newestByName.delete(state.worker);
-						removeFromHost(state);
-					}
+					remove(state);
 					removed.push(state);
 				}
 			}
--- a/packages/ports/src/common/resources.ts
+++ b/packages/ports/src/common/resources.ts
@@ -62,3 +62,12 @@
 		accelerators: Math.max(left.accelerators, right.accelerators),
 	};
 }
+
+/** Returns the smaller value in each dimension. */
+export function minimumResources(left: Resources, right: Resources): Resources {
+	return {
+		milliCores: Math.min(left.milliCores, right.milliCores),
+		memoryMb: Math.min(left.memoryMb, right.memoryMb),
+		accelerators: Math.min(left.accelerators, right.accelerators),
+	};
+}
