--- a/packages/coordinator/src/common/adaptiveTimeout.ts
+++ b/packages/coordinator/src/common/adaptiveTimeout.ts
@@ -2,6 +2,8 @@
 export interface AdaptiveTimeoutOptions {
 	readonly minimumMs: number;
 	readonly maximumMs: number;
+	/** Latency of an earlier call to the same peer, in milliseconds; a short one is assumed if there was none. */
+	readonly knownLatencyMs?: number | undefined;
 }
 
 /** Timeout of an idempotent call, adapted to the latency of earlier calls. The caller retries after it has passed. */
@@ -21,8 +23,12 @@
 const SMOOTHING_FACTOR = 0.25;
 
 /** Creates a timeout that is proportional to the average latency and doubles with each consecutive time-out. */
-export function createAdaptiveTimeout({ minimumMs, maximumMs }: AdaptiveTimeoutOptions): AdaptiveTimeout {
-	let averageMs = minimumMs / LATENCY_MULTIPLIER;
+export function createAdaptiveTimeout({
+	minimumMs,
+	maximumMs,
+	knownLatencyMs = 0,
+}: AdaptiveTimeoutOptions): AdaptiveTimeout {
+	let averageMs = Math.max(knownLatencyMs, minimumMs / LATENCY_MULTIPLIER);
 	let consecutiveTimeouts = 0;
 	return {
 		get currentMs() {
--- a/packages/coordinator/src/node/journal/journalWriter.ts
+++ b/packages/coordinator/src/node/journal/journalWriter.ts
@@ -32,6 +32,8 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly appendEveryMs: number;
+	/** Time that the log took for an earlier append, in milliseconds; `undefined` if there was none. */
+	readonly knownLatencyMs: number | undefined;
 	/** Called when all batches up to and including `batch` are stored. */
 	readonly onStored: (batch: number, offset: number) => void;
 	/** Called when a successor has fenced off this writer. */
@@ -63,7 +65,11 @@
 	const { log, term, proof, clock, counters, appendEveryMs } = options;
 	/** Batches of which no record can have been stored. */
 	let queuedBatches: Batch[] = [];
-	const appendTimeout = createAdaptiveTimeout({ minimumMs: MINIMUM_ANSWER_TIMEOUT_MS, maximumMs: MAXIMUM_ANSWER_TIMEOUT_MS });
+	const appendTimeout = createAdaptiveTimeout({
+		minimumMs: MINIMUM_ANSWER_TIMEOUT_MS,
+		maximumMs: MAXIMUM_ANSWER_TIMEOUT_MS,
+		knownLatencyMs: options.knownLatencyMs,
+	});
 	let sequence = 1;
 	let isRunning = false;
 	let isFenced = false;
--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
@@ -19,6 +20,8 @@
 	readonly bytes: number;
 	/** Number of records that could not be decoded, and of events that could not be applied. They were skipped. */
 	readonly unreadable: number;
+	/** Time that the log took for the append that fenced off the predecessors, in milliseconds. */
+	readonly appendLatencyMs: number;
 }
 
 /** Reports whether the log serves the takeover: `true` when a call failed, `false` when one succeeded. */
@@ -32,11 +35,12 @@
 export async function takeOverJournal(
 	log: LogService,
 	term: number,
+	clock: Clock,
 	onEvent: (event: JournalEvent, offset: number) => void,
 	onBlocked: BlockedListener,
 	signal: AbortSignal,
 ): Promise<JournalReadResult> {
-	const end = await fencePredecessors(log, term, onBlocked, signal);
+	const { end, appendLatencyMs } = await fencePredecessors(log, term, clock, onBlocked, signal);
 	let from = 0;
 	let records = 0;
 	let bytes = 0;
@@ -77,7 +81,7 @@
 			from++;
 		}
 	}
-	return { records, bytes, unreadable };
+	return { records, bytes, unreadable, appendLatencyMs };
 }
 
 /** Applies an event. @returns whether it could be applied; another build or a faulty writer may have written it */
@@ -94,19 +98,24 @@
 	}
 }
 
-/** Raises the writer epoch of the journal to the term. @returns the end offset of the journal */
+/**
+ * Raises the writer epoch of the journal to the term.
+ * @returns the end offset of the journal, and the time that the successful append took, in milliseconds
+ */
 async function fencePredecessors(
 	log: LogService,
 	term: number,
+	clock: Clock,
 	onBlocked: BlockedListener,
 	signal: AbortSignal,
-): Promise<number> {
+): Promise<{ readonly end: number; readonly appendLatencyMs: number }> {
 	let reason = 'the term ended before';
 	for (let retryDelayMs = FIRST_RETRY_DELAY_MS; !signal.aborted; retryDelayMs *= 2) {
+		const sentAt = clock.now();
 		const outcome = await log.append('journal', [], { writer: { name: JOURNAL_WRITER, epoch: term } }, signal);
 		if (outcome.type === 'appended') {
 			onBlocked(false);
-			return outcome.end;
+			return { end: outcome.end, appendLatencyMs: Math.round(clock.now() - sentAt) };
 		}
 		if (termReactions['fence-journal'][outcome.type] === 'lost') {
 			throw kindError('not-ready', `a term newer than ${term} has fenced off the journal: ${outcome.type}`);
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -94,6 +94,7 @@
 	const journalRead = await takeOverJournal(
 		log,
 		identity.term,
+		clock,
 		(event, offset) => engine.replay(event, offset, clock.now()),
 		options.onBlocked,
 		signal,
@@ -120,6 +121,7 @@
 			clock,
 			counters,
 			appendEveryMs: settings.appendEveryMs,
+			knownLatencyMs: journalRead.appendLatencyMs,
 			onStored: (batch, offset) => {
 				storedBatch = batch;
 				engine.batchStored(batch, offset, clock.now());
--- a/packages/coordinator/src/test/adaptiveTimeout.test.ts
+++ b/packages/coordinator/src/test/adaptiveTimeout.test.ts
@@ -15,6 +15,12 @@
 		expect(timeout.currentMs).toBe(200);
 	});
 
+	it('starts from the latency of an earlier call to the peer', () => {
+		expect(createAdaptiveTimeout({ minimumMs: 200, maximumMs: 1_500, knownLatencyMs: 180 }).currentMs).toBe(720);
+		expect(createAdaptiveTimeout({ minimumMs: 200, maximumMs: 1_500, knownLatencyMs: 4 }).currentMs).toBe(200);
+		expect(createAdaptiveTimeout({ minimumMs: 200, maximumMs: 1_500, knownLatencyMs: 900 }).currentMs).toBe(1_500);
+	});
+
 	it('doubles with each time-out up to the maximum, and adapts to a slow peer with its first response', () => {
 		const timeout = createAdaptiveTimeout({ minimumMs: 200, maximumMs: 1_500 });
 		const waits = [1, 2, 3, 4].map(() => {
--- a/packages/coordinator/src/test/journalWriter.test.ts
+++ b/packages/coordinator/src/test/journalWriter.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it, vi } from 'vitest';
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import type { AcceptedJob, JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
-import type { AppendOutcome, LogService } from '@chestnutwheel/ports/common/logService.js';
+import type { AppendConditions, AppendOutcome, LogService } from '@chestnutwheel/ports/common/logService.js';
 import { createTermProof } from '../common/termProof.js';
 import { decodeEvents } from '../node/journal/journalCodec.js';
 import { createJournalWriter } from '../node/journal/journalWriter.js';
@@ -15,14 +15,29 @@
 
 const acceptance = (id: string): JournalEvent => ({ type: 'accepted', job: { id } as AcceptedJob });
 
+interface WriterOptions {
+	/** Time that the log takes for an append, in milliseconds. */
+	readonly appendLatencyMs?: number;
+	readonly knownLatencyMs?: number;
+}
+
 /** Creates a writer on a log that answers appends in turn, and then stores them. */
-function createWriter(answers: AppendOutcome[]) {
+function createWriter(answers: AppendOutcome[], { appendLatencyMs = 4, knownLatencyMs }: WriterOptions = {}) {
 	time = createVirtualTime();
 	const stored: JournalEvent[] = [];
 	const batches: number[] = [];
+	let appends = 0;
 	const log = {
-		append: async (_topic: string, records: readonly Uint8Array[]): Promise<AppendOutcome> => {
-			await time.sleep(4);
+		append: async (
+			_topic: string,
+			records: readonly Uint8Array[],
+			{ answerWithinMs = Infinity }: AppendConditions = {},
+		): Promise<AppendOutcome> => {
+			appends++;
+			await time.sleep(Math.min(appendLatencyMs, answerWithinMs));
+			if (answerWithinMs < appendLatencyMs) {
+				return { type: 'unknown', reason: 'no response in time' };
+			}
 			const outcome = answers.shift() ?? { type: 'appended', offset: stored.length, end: stored.length + 1 };
 			if (outcome.type === 'appended') {
 				stored.push(...records.flatMap(record => decodeEvents(record) ?? []));
@@ -38,12 +53,13 @@
 			clock: time.clock,
 			counters: createCounters(),
 			appendEveryMs: 12,
+			knownLatencyMs,
 			onStored: batch => batches.push(batch),
 			onFenced: () => undefined,
 		},
 		new AbortController().signal,
 	);
-	return { writer, stored, batches };
+	return { writer, stored, batches, appends: () => appends };
 }
 
 const refused: AppendOutcome = { type: 'refused', reason: 'busy' };
@@ -83,3 +99,18 @@
 		expect(stored).toEqual([acceptance('a')]);
 	});
 });
+
+describe('the first append of a term while the log takes 300 ms for an append', () => {
+	// On this load a new leader counted the journal as stalled, and withdrew the jobs that it had just accepted.
+	it('is not repeated and does not count as unanswered, because the append that began the term was as slow', async () => {
+		const { writer, stored, appends } = createWriter([], { appendLatencyMs: 300, knownLatencyMs: 300 });
+		writer.add(1, [acceptance('a')]);
+		for (let elapsedMs = 0; elapsedMs < 300; elapsedMs += 20) {
+			await time.advance(20);
+			expect(writer.unansweredSince).toBeUndefined();
+		}
+		await time.advance(20);
+		expect(stored).toEqual([acceptance('a')]);
+		expect(appends()).toBe(1);
+	});
+});
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -289,7 +289,8 @@
 			resignation: draining.signal,
 			resignBy: () => resignBy,
 			begin: async (identity, proof, onBlocked, termSignal) => {
-				await takeOverJournal(relayedLog, identity.term, () => undefined, onBlocked, termSignal);
+				const ignore = (): undefined => undefined;
+				const read = await takeOverJournal(relayedLog, identity.term, clock, ignore, onBlocked, termSignal);
 				const observed = terms.find(({ term }) => term === identity.term);
 				if (observed !== undefined) {
 					observed.begunAt = clock.now();
@@ -305,6 +306,7 @@
 						term: identity.term,
 						proof,
 						appendEveryMs: 12,
+						knownLatencyMs: read.appendLatencyMs,
 						onStored: () => storedAt.push(clock.now()),
 						onFenced: reason => fence(reason),
 					},
