Let hosts serve whose order of a former leader was not executed

Cause: an order that a leader had journaled, and whose acceptance it had not, kept the host empty after a hand-over until the successor might repeat it, 3.5 s after the predecessor had stopped, or 5 s after the term began. A host whose last order was settled was likewise unavailable for 5 s of wall time, although the predecessor had stopped.

Change: the host list settles such orders. A host listed as moving or under maintenance has accepted the order; one that a list requested 0.5 s or more after the predecessor's stop shows as up has not executed it, and serves on. It may be ordered again once orders of the two leaders cannot alternate, which the stop of the predecessor bounds as well as the wall clock does.

--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -1,6 +1,6 @@
-import type { HostOrderOutcome, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
+import type { HostOrderOutcome, HostState, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { EngineContext } from '../engineContext.js';
-import type { HostAction } from '../jobs/journalEvent.js';
+import type { HostAction, LastHostOrder } from '../jobs/journalEvent.js';
 import type { WorkerMonitor } from '../workers/workerMonitor.js';
 import { standbyPools } from '../pools/standbyPools.js';
 import type { Evacuation } from './evacuation.js';
@@ -38,12 +38,18 @@
 /** Time for which a host must be missing from the list before it counts as removed. */
 const REMOVED_AFTER_MS = 2_000;
 
+/** State of a host while an order is carried out. */
+const AWAY_STATES: Readonly<Record<HostAction['type'], HostState>> = { move: 'moving', upkeep: 'upkeep' };
+
+/** What the host list shows of an order that a previous leader has journaled. */
+type InheritedOutcome = 'carried-out' | 'under-way' | 'not-executed';
+
 /**
  * Orders to hosts, one at a time for each host: evacuate it, journal the order, send it, and await the host's return.
  */
 export interface HostOrders {
 	/** Whether a new order to the host may begin. */
-	isAvailable(host: string): boolean;
+	isAvailable(host: string, now: number): boolean;
 	/** Begins an order. @returns whether the host was available */
 	begin(host: string, action: HostAction, now: number): boolean;
 	/** Handles the answer of the host service; `not-sent` means that the daemon was no longer sure to lead. */
@@ -70,7 +76,17 @@
 		order.phaseSince = now;
 	};
 
-	const settle = (order: HostOrder, isDone: boolean, reason: string, now: number): void => {
+	const acceptanceOf = ({ host, acceptedAt }: HostOrder): LastHostOrder | undefined =>
+		acceptedAt === undefined ? undefined : [host, context.term ?? 0, acceptedAt];
+
+	/** Closes an order. @param last the last request that the host service may have executed, if there is a newer one */
+	const settle = (
+		order: HostOrder,
+		isDone: boolean,
+		reason: string,
+		now: number,
+		last: LastHostOrder | undefined = acceptanceOf(order),
+	): void => {
 		note('host-settled', {
 			host: order.host,
 			...order.action,
@@ -82,8 +98,6 @@
 		if (!order.isJournaled) {
 			hosts.orders.delete(order.host);
 		} else {
-			const last =
-				order.acceptedAt === undefined ? undefined : ([order.host, context.term ?? 0, order.acceptedAt] as const);
 			context.record({ type: 'host-settled', host: order.host, action: order.action, isDone, last }, now);
 		}
 		context.needsSchedulingPass = true;
@@ -122,34 +136,61 @@
 		context.emitWhenStored({ type: 'host-order', host: order.host, action: order.action });
 	};
 
+	/** Returns the time from which orders of this leader cannot alternate with requests of its predecessors. */
+	const afterPredecessors = (): number => {
+		const { termBeganAt, predecessor, settings } = context;
+		return predecessor.stoppedAt === undefined
+			? termBeganAt + settings.hostLeaseMs + ACTIVE_PREDECESSOR_MARGIN_MS
+			: predecessor.stoppedAt + settings.hostLeaseMs + CALL_IN_FLIGHT_MARGIN_MS;
+	};
+
+	/** Returns the earliest send time of an order. A retried order must not alternate with requests of a previous leader. */
+	const earliestSendTime = (order: HostOrder): number =>
+		order.isRetry ? Math.max(order.notBefore, afterPredecessors()) : order.notBefore;
+
 	/**
-	 * Returns the earliest send time of an order. A retried order must not alternate with requests of a previous leader.
+	 * Returns what the host list shows of an order that a previous leader has journaled, and that the host service may have
+	 * executed or not; `undefined` while the list leaves it open.
 	 */
-	const earliestSendTime = (order: HostOrder): number => {
-		const { termBeganAt: ledSince, predecessor, settings } = context;
-		const afterPredecessor =
-			predecessor.stoppedAt === undefined
-				? ledSince + settings.hostLeaseMs + ACTIVE_PREDECESSOR_MARGIN_MS
-				: predecessor.stoppedAt + settings.hostLeaseMs + CALL_IN_FLIGHT_MARGIN_MS;
-		return order.isRetry ? Math.max(order.notBefore, afterPredecessor) : order.notBefore;
+	const inheritedOutcome = ({ host, action, isRetry, phaseSince }: HostOrder): InheritedOutcome | undefined => {
+		const listed = hosts.hosts.get(host);
+		const { listRequestedAt } = hosts;
+		if (!isRetry || listed === undefined || listRequestedAt === undefined || listRequestedAt < phaseSince) {
+			return undefined;
+		}
+		if (listed.state !== 'up') {
+			return listed.state === AWAY_STATES[action.type] ? 'under-way' : undefined;
+		}
+		if (action.type === 'move' && action.pool === listed.pool) {
+			return 'carried-out';
+		}
+		const { stoppedAt } = context.predecessor;
+		return stoppedAt !== undefined && listRequestedAt >= stoppedAt + CALL_IN_FLIGHT_MARGIN_MS
+			? 'not-executed'
+			: undefined;
 	};
 
-	/** Whether the host list shows that a move ordered earlier was executed, so that no second request is needed. */
-	const wasCarriedOut = ({ host, action, isRetry, phaseSince }: HostOrder): boolean => {
-		const listed = hosts.hosts.get(host);
-		return (
-			isRetry &&
-			action.type === 'move' &&
-			hosts.listRequestedAt !== undefined &&
-			hosts.listRequestedAt >= phaseSince &&
-			listed?.pool === action.pool &&
-			listed.state === 'up'
-		);
+	const inheritedOutcomeHandlers: Readonly<Record<InheritedOutcome, (order: HostOrder, now: number) => void>> = {
+		'carried-out': (order, now) => settle(order, true, 'carried-out-before', now),
+		'under-way': (order, now) => {
+			const acceptance = { endedWorker: undefined };
+			context.record({ type: 'host-accepted', host: order.host, acceptance, last: predecessorRequest(order) }, now);
+		},
+		// The host serves on, instead of staying empty until a second request may be sent.
+		'not-executed': (order, now) => settle(order, false, 'not-executed', now, predecessorRequest(order)),
 	};
 
+	/** Returns the last request of a previous leader for an order, which it may have sent until it stopped. */
+	const predecessorRequest = ({ host }: HostOrder): LastHostOrder => [
+		host,
+		hosts.lastOrder(host)?.[1] ?? 0,
+		Math.round(context.wallNow()),
+	];
+
 	const advanceEmptying = (order: HostOrder, now: number): void => {
-		if (wasCarriedOut(order)) {
-			settle(order, true, 'carried-out-before', now);
+		const outcome = inheritedOutcome(order);
+		if (outcome !== undefined) {
+			inheritedOutcomeHandlers[outcome](order, now);
 			return;
 		}
 		const state = workers.byHost(order.host);
@@ -280,11 +321,12 @@
 	};
 
 	/** Whether no order is open and no order of a previous leader is recent enough to interleave with a new one. */
-	const isAvailable = (host: string): boolean => {
+	const isAvailable = (host: string, now: number): boolean => {
 		const last = hosts.lastOrder(host);
 		const isRecent =
 			last !== undefined &&
 			last[1] !== context.term &&
+			now < afterPredecessors() &&
 			context.wallNow() < last[2] + context.settings.hostLeaseMs + ACTIVE_PREDECESSOR_MARGIN_MS;
 		return !hosts.orders.has(host) && !isRecent;
 	};
@@ -292,7 +334,7 @@
 	return {
 		isAvailable,
 		begin: (host, action, now) => {
-			if (!isAvailable(host)) {
+			if (!isAvailable(host, now)) {
 				return false;
 			}
 			note('host-chosen', { host, ...action });
@@ -317,7 +359,7 @@
 			}
 		},
 		get needsHostList() {
-			return [...hosts.orders.values()].some(({ phase }) => phase !== 'emptying');
+			return [...hosts.orders.values()].some(({ phase, isRetry }) => phase !== 'emptying' || isRetry);
 		},
 	};
 }
--- a/packages/engine/src/common/pools/poolRebalancer.ts
+++ b/packages/engine/src/common/pools/poolRebalancer.ts
@@ -227,7 +227,7 @@
 
 	const isMoving = (host: string): boolean => hosts.orders.get(host)?.action.type === 'move';
 
-	const movable = (standby: ReadonlySet<string>): readonly MovableHost[] => {
+	const movable = (standby: ReadonlySet<string>, now: number): readonly MovableHost[] => {
 		const due = hosts.hostsDueForMaintenance();
 		const isIdle = (listed: ListedHost, isOff: boolean): boolean => {
 			const state = workers.byHost(listed.host);
@@ -239,7 +239,7 @@
 			return isAnswering && serves(state) && state.entry?.pool === listed.pool && hasNoRuns(state);
 		};
 		return [...hosts.hosts.values()]
-			.filter(host => host.state === 'up' && orders.isAvailable(host.host))
+			.filter(host => host.state === 'up' && orders.isAvailable(host.host, now))
 			.filter(host => isIdle(host, standby.has(host.pool)))
 			.map(({ host, pool }) => ({
 				host,
@@ -259,7 +259,7 @@
 			const standby = standbyPools(context.plan);
 			const wanted = needs(standby, now);
 			const [spare] = standby;
-			const idle = movable(standby);
+			const idle = movable(standby, now);
 			const moves = planMoves(wanted, idle, spare);
 			shortageLog.report(wanted, moves, idle, now);
 			for (const { host, from, to } of moves) {
--- a/packages/engine/src/common/pools/poolShortageLog.ts
+++ b/packages/engine/src/common/pools/poolShortageLog.ts
@@ -38,7 +38,7 @@
 	const { hosts, workers, logDecision } = context;
 	let loggedAt = -Infinity;
 
-	const useOf = ({ host, state }: ListedHost, idle: ReadonlySet<string>): HostUse => {
+	const useOf = ({ host, state }: ListedHost, idle: ReadonlySet<string>, now: number): HostUse => {
 		const order = hosts.orders.get(host);
 		if (order !== undefined) {
 			return order.phase === 'emptying' ? 'emptying' : 'ordered';
@@ -49,7 +49,7 @@
 		if (idle.has(host)) {
 			return 'idle';
 		}
-		if (!orders.isAvailable(host)) {
+		if (!orders.isAvailable(host, now)) {
 			return 'paused';
 		}
 		const worker = workers.byHost(host);
@@ -61,12 +61,15 @@
 	};
 
 	/** Counts the hosts of each pool by their use, for the pools with the most hosts. */
-	const countUses = (idle: readonly MovableHost[]): Readonly<Record<string, Partial<Record<HostUse, number>>>> => {
+	const countUses = (
+		idle: readonly MovableHost[],
+		now: number,
+	): Readonly<Record<string, Partial<Record<HostUse, number>>>> => {
 		const idleHosts = new Set(idle.map(({ host }) => host));
 		const pools = new Map<string, Map<HostUse, number>>();
 		for (const listed of hosts.hosts.values()) {
 			const uses = pools.get(listed.pool) ?? new Map<HostUse, number>();
-			const use = useOf(listed, idleHosts);
+			const use = useOf(listed, idleHosts, now);
 			pools.set(listed.pool, uses.set(use, (uses.get(use) ?? 0) + 1));
 		}
 		const size = (uses: ReadonlyMap<HostUse, number>): number => [...uses.values()].reduce((sum, of) => sum + of, 0);
@@ -95,8 +98,8 @@
 				up: listed.filter(({ state }) => state === 'up').length,
 				idle: idle.length,
 				ordered: hosts.orders.size,
-				paused: listed.filter(({ host }) => !hosts.orders.has(host) && !orders.isAvailable(host)).length,
-				uses: countUses(idle),
+				paused: listed.filter(({ host }) => !hosts.orders.has(host) && !orders.isAvailable(host, now)).length,
+				uses: countUses(idle, now),
 			});
 		},
 	};
