End all decisions of a leader that hands over its term

Its polls, cut short, counted as silence of the workers.

Change: `quiesce` reaches the engine, which decides nothing from then on. Orders to hosts that are in flight are awaited, so that their acceptance is journaled; one that was journaled and not sent is settled as not done. A poll that is cut short says nothing about its worker.

--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -194,7 +194,7 @@
 			holder: identity.entryHost,
 			proof,
 		},
-		active,
+		signal,
 	);
 
 	const handlers: {
@@ -244,6 +244,9 @@
 	const execute = (effect: EngineEffect): void => {
 		if (!active.aborted) {
 			(handlers[effect.type] as (effect: EngineEffect) => void)(effect);
+		} else if (effect.type === 'host-order') {
+			// The successor may use a host at once if the journal shows that its order was never sent.
+			engine.hostOrderAnswered(effect.host, { type: 'not-sent' }, clock.now());
 		}
 	};
 
@@ -315,7 +318,10 @@
 		flush,
 		lost,
 		journal,
-		quiesce: () => quiescence.abort(),
+		quiesce: () => {
+			engine.quiesce();
+			quiescence.abort();
+		},
 	};
 }
 
--- a/packages/coordinator/src/node/leader/workerPoller.ts
+++ b/packages/coordinator/src/node/leader/workerPoller.ts
@@ -40,14 +40,19 @@
 	const controllers = new Map<string, AbortController>();
 
 	const pollWorker = async (workerKey: string, address: WorkerAddress, stopped: AbortSignal): Promise<void> => {
+		const isStopped = (): boolean => stopped.aborted;
 		let waitMs = 0;
-		while (!stopped.aborted) {
+		while (!isStopped()) {
 			const sentAt = clock.now();
 			const request = engine.monitor.pollRequest(workerKey, waitMs, isTermConfirmed(), sentAt);
 			if (request === undefined) {
 				return;
 			}
 			const answer = await workers.poll(address, request, stopped);
+			if (answer.type !== 'listed' && isStopped()) {
+				// The poll was cut short, which says nothing about the worker.
+				return;
+			}
 			counters.add('looks_total', { outcome: answer.type });
 			engine.monitor.pollAnswered(workerKey, answer, clock.now());
 			flush();
--- a/packages/engine/src/common/engine.ts
+++ b/packages/engine/src/common/engine.ts
@@ -61,6 +61,8 @@
 	 * @param since send time of the first append that is not stored; `undefined` while the journal stores batches
 	 */
 	journalStalled(since: number | undefined): void;
+	/** Ends all decisions before the term is handed over: no task starts, and no host is ordered, from now on. */
+	quiesce(): void;
 	/** Performs work that is due, and places tasks that may start. */
 	tick(now: number): void;
 	/** Returns the time of the next tick that is needed if no message arrives before. */
@@ -173,8 +175,11 @@
 			}
 			context.journalStalledSince = since;
 		},
+		quiesce: () => {
+			context.isQuiescent = true;
+		},
 		tick: now => {
-			if (context.term === undefined) {
+			if (context.term === undefined || context.isQuiescent) {
 				return;
 			}
 			const wallNow = context.wallNow();
@@ -196,7 +201,7 @@
 		},
 		nextTickAt: now => {
 			const times = [nextDueAt, schedulePass.nextPassAt(now)].filter(time => time !== undefined);
-			return context.needsSchedulingPass ? now : Math.min(now + IDLE_TICK_MS, ...times);
+			return context.needsSchedulingPass && !context.isQuiescent ? now : Math.min(now + IDLE_TICK_MS, ...times);
 		},
 		trimOffset: () => Math.min(jobMaintenance.trimBefore(), hostMaintenance.trimBefore()),
 		takeOutput: () => context.takeOutput(),
--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -78,6 +78,8 @@
 	journalStalledSince: number | undefined;
 	/** Whether a change since the last scheduling pass may allow a step to start. */
 	needsSchedulingPass: boolean;
+	/** Whether the leader is about to hand over its term, so that its orders are no longer carried out. */
+	isQuiescent: boolean;
 	/** Applies an event that is in the journal already, or has just been recorded with offset 0. */
 	apply(event: JournalEvent, offset: number, now: number): void;
 	/** Adds an event to the next batch and applies it. */
@@ -247,6 +249,7 @@
 		openJobCount: 0,
 		journalStalledSince: undefined,
 		needsSchedulingPass: false,
+		isQuiescent: false,
 		hosts,
 		apply,
 		journalWeight: 0,
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -316,7 +316,11 @@
 			order.notBefore = now + RETRY_BACKOFF_MS;
 		},
 		'not-sent': (order, _answer, now) => {
-			order.notBefore = now + RETRY_BACKOFF_MS;
+			if (context.isQuiescent && !order.isRetry) {
+				settle(order, false, 'not-sent', now);
+			} else {
+				order.notBefore = now + RETRY_BACKOFF_MS;
+			}
 		},
 	};
 
