Measure the age of a former leader's orders by that leader's own clock

Cause: a new leader compared its wall clock with the stamps of its predecessor's orders, although wall clocks of two hosts are never to be compared, and allowed 2 s for their difference. With its clock ahead it ordered a host before the order of its predecessor was 3 s old; with equal clocks it left every host alone for 5 s that had been ordered.

Requests whose time is unknown count as sent until the predecessor stopped. An order that was never sent leaves the earlier one in force.

--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -12,6 +12,7 @@
 	type QueuePolicy,
 } from './jobs/journalEvent.js';
 import { createHostRegistry, type HostRegistry } from './hosts/hostRegistry.js';
+import { createLeaderStamps, type LeaderStamps } from './hosts/leaderStamps.js';
 import { createArrivalEstimator, type ArrivalEstimator } from './pools/poolDemand.js';
 import { longestPath, remainingCriticalPaths, type StepTime } from './scheduling/criticalPath.js';
 import { createDurationEstimator, type DurationEstimator } from './scheduling/durationEstimator.js';
@@ -49,6 +50,8 @@
 	readonly jobs: JobTable;
 	readonly workers: WorkerTable;
 	readonly hosts: HostRegistry;
+	/** Stamps of the earlier leaders. */
+	readonly leaderStamps: LeaderStamps;
 	readonly teamUsage: TeamUsage;
 	readonly durations: DurationEstimator;
 	readonly startDelay: StartDelay;
@@ -205,9 +208,13 @@
 	);
 
 	const hosts = createHostRegistry();
+	const leaderStamps = createLeaderStamps();
 
 	const apply = (event: JournalEvent, offset: number, now: number): void => {
 		context.journalWeight += eventWeight(event);
+		if (context.term === undefined) {
+			leaderStamps.read(event);
+		}
 		if (event.type === 'term' && context.term === undefined) {
 			const { predecessor } = context;
 			predecessor.leaseMs = Math.max(predecessor.leaseMs, event.leaseMs);
@@ -251,6 +258,7 @@
 		needsSchedulingPass: false,
 		isQuiescent: false,
 		hosts,
+		leaderStamps,
 		apply,
 		journalWeight: 0,
 		record: (event, now) => {
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -64,6 +64,8 @@
 /** Creates the component that executes orders to hosts. */
 export function createHostOrders(context: EngineContext, evacuation: Evacuation, monitor: WorkerMonitor): HostOrders {
 	const { hosts, workers, logDecision: note, counters } = context;
+	/** Time from which a host that a predecessor has ordered may be ordered again, by host. */
+	const availableFrom = new Map<string, number>();
 
 	/** Whether a host without a known worker has none that is yet to be discovered; only then may it be ordered. */
 	const isKnownWithoutWorker = (host: string): boolean => {
@@ -76,10 +78,17 @@
 		order.phaseSince = now;
 	};
 
+	/** Returns a request that this leader, or a predecessor, may have sent until now. */
+	const requestUntilNow = ({ host }: HostOrder): LastHostOrder => [
+		host,
+		context.term ?? 0,
+		Math.round(context.wallNow()),
+	];
+
 	const acceptanceOf = ({ host, acceptedAt }: HostOrder): LastHostOrder | undefined =>
 		acceptedAt === undefined ? undefined : [host, context.term ?? 0, acceptedAt];
 
-	/** Closes an order. @param last the last request that the host service may have executed, if there is a newer one */
+	/** Closes an order. @param last the newest request for the host, if the journal does not hold it yet */
 	const settle = (
 		order: HostOrder,
 		isDone: boolean,
@@ -112,6 +121,7 @@
 		}
 		note('host-ordered', { host, ...action, emptiedInMs: Math.round(now - order.startedAt) });
 		const orderedAt = Math.round(context.wallNow());
+		order.previous = hosts.lastOrders.get(host);
 		context.record({ type: 'host-ordered', order: { host, action, term: context.term ?? 0, orderedAt } }, now);
 		send(order, now);
 	};
@@ -171,25 +181,19 @@
 	};
 
 	const inheritedOutcomeHandlers: Readonly<Record<InheritedOutcome, (order: HostOrder, now: number) => void>> = {
-		'carried-out': (order, now) => settle(order, true, 'carried-out-before', now),
+		'carried-out': (order, now) => settle(order, true, 'carried-out-before', now, requestUntilNow(order)),
 		'under-way': (order, now) => {
 			const acceptance = { endedWorker: undefined };
-			context.record({ type: 'host-accepted', host: order.host, acceptance, last: predecessorRequest(order) }, now);
+			context.record({ type: 'host-accepted', host: order.host, acceptance, last: requestUntilNow(order) }, now);
 		},
 		// The host serves on, instead of staying empty until a second request may be sent.
-		'not-executed': (order, now) => settle(order, false, 'not-executed', now, predecessorRequest(order)),
+		'not-executed': (order, now) => settle(order, false, 'not-executed', now, requestUntilNow(order)),
 	};
 
-	/** Returns the last request of a previous leader for an order, which it may have sent until it stopped. */
-	const predecessorRequest = ({ host }: HostOrder): LastHostOrder => [
-		host,
-		hosts.lastOrder(host)?.[1] ?? 0,
-		Math.round(context.wallNow()),
-	];
-
 	const advanceEmptying = (order: HostOrder, now: number): void => {
 		const outcome = inheritedOutcome(order);
 		if (outcome !== undefined) {
+			availableFrom.set(order.host, afterPredecessors());
 			inheritedOutcomeHandlers[outcome](order, now);
 			return;
 		}
@@ -304,7 +308,7 @@
 				if (order.action.type === 'move') {
 					hosts.addIncompatiblePool(order.host, order.action.pool);
 				}
-				settle(order, reason === 'unknown-host', reason, now);
+				settle(order, reason === 'unknown-host', reason, now, requestUntilNow(order));
 			}
 		},
 		throttled: (order, _answer, now) => {
@@ -317,7 +321,7 @@
 		},
 		'not-sent': (order, _answer, now) => {
 			if (context.isQuiescent && !order.isRetry) {
-				settle(order, false, 'not-sent', now);
+				settle(order, false, 'not-sent', now, order.previous ?? [order.host, context.term ?? 0, 0]);
 			} else {
 				order.notBefore = now + RETRY_BACKOFF_MS;
 			}
@@ -325,15 +329,8 @@
 	};
 
 	/** Whether no order is open and no order of a previous leader is recent enough to interleave with a new one. */
-	const isAvailable = (host: string, now: number): boolean => {
-		const last = hosts.lastOrder(host);
-		const isRecent =
-			last !== undefined &&
-			last[1] !== context.term &&
-			now < afterPredecessors() &&
-			context.wallNow() < last[2] + context.settings.hostLeaseMs + ACTIVE_PREDECESSOR_MARGIN_MS;
-		return !hosts.orders.has(host) && !isRecent;
-	};
+	const isAvailable = (host: string, now: number): boolean =>
+		!hosts.orders.has(host) && now >= (availableFrom.get(host) ?? -Infinity);
 
 	return {
 		isAvailable,
@@ -353,6 +350,11 @@
 			}
 		},
 		takeOver: now => {
+			// A predecessor orders a host only by an open order, so that the newest request for any other host is known.
+			for (const [host, term, wallAt] of hosts.lastOrders.values()) {
+				const orderedAt = now - context.leaderStamps.elapsedSince(term, wallAt);
+				availableFrom.set(host, orderedAt + context.settings.hostLeaseMs + CALL_IN_FLIGHT_MARGIN_MS);
+			}
 			for (const order of hosts.orders.values()) {
 				order.phaseSince = now;
 			}
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -43,6 +43,8 @@
 	workerKey: string | undefined;
 	/** Whether the order is known to have ended that incarnation, and not a later one. */
 	hasEndedWorker: boolean;
+	/** The last order to the host before this one; `undefined` if none is known. */
+	previous: LastHostOrder | undefined;
 	/** Wall-clock time when the host service accepted the order, in milliseconds since 1970. */
 	acceptedAt: number | undefined;
 }
@@ -64,6 +66,7 @@
 		isRetry: isInherited,
 		workerKey: undefined,
 		hasEndedWorker: false,
+		previous: undefined,
 		acceptedAt: undefined,
 	};
 }
@@ -95,8 +98,8 @@
 	settledHosts(wave: number): ReadonlySet<string>;
 	/** Returns the hosts of unfinished waves whose maintenance is not complete. */
 	hostsDueForMaintenance(): ReadonlySet<string>;
-	/** Returns the last known order to the host, with its term and time. */
-	lastOrder(host: string): LastHostOrder | undefined;
+	/** The last known order to each host, by host. */
+	readonly lastOrders: ReadonlyMap<string, LastHostOrder>;
 	/**
 	 * Records that the host service has refused to move the host to a pool, because the pool needs hosts of another kind.
 	 */
@@ -216,7 +219,7 @@
 			}
 			return due;
 		},
-		lastOrder: host => lastOrders.get(host),
+		lastOrders,
 		addIncompatiblePool: (host, pool) => incompatiblePools.add(`${host} ${pool}`),
 		isIncompatible: (host, pool) => incompatiblePools.has(`${host} ${pool}`),
 		applyList: (list, requestedAt) => {
--- a/packages/engine/src/test/hostOrderHandover.test.ts
+++ b/packages/engine/src/test/hostOrderHandover.test.ts
@@ -116,3 +116,41 @@
 		expect(effects).toContainEqual({ type: 'report-wave', wave: 1, state: 'done' });
 	});
 });
+
+describe('a host whose last order by a former leader is complete', () => {
+	/** Begins a term after a leader whose wall clock is ahead of the new leader's, or behind it. */
+	const succeed = (clockAheadMs: number, sinceOrderMs: number): EngineHarness => {
+		const endedAt = 5_000 + clockAheadMs;
+		const orderedAt = endedAt - sinceOrderMs;
+		const action: HostAction = { type: 'move', pool: 'desk' };
+		const job = { id: '0000000000000001', queue: 'desk', team: undefined, terms: harnessQueue('desk'), spec: wideJob };
+		return createFleet(
+			['w0', 'w1', 'w2'],
+			[
+				{ type: 'term', term: 9, holder: 'former', leaseMs: 3_000, validMs: 2_000 },
+				{ type: 'host-ordered', order: { host: 'host-1', action, term: 9, orderedAt } },
+				{ type: 'host-accepted', host: 'host-1', acceptance: {}, last: ['host-1', 9, orderedAt] },
+				{ type: 'host-settled', host: 'host-1', action, isDone: true, last: ['host-1', 9, orderedAt] },
+				{ type: 'accepted', job: { ...job, acceptedAt: endedAt } },
+				{ type: 'cancelled', job: job.id },
+			],
+			5_000,
+		);
+	};
+
+	const ordersWithin = (harness: EngineHarness, milliseconds: number): readonly EngineEffect[] => {
+		harness.advance(milliseconds);
+		return harness.takeEffects().filter(isHostOrder);
+	};
+
+	// The wall clocks of the two leaders were compared: a host was paused for seconds, or ordered too early.
+	it.each([-60_000, 0, 60_000])(
+		'may be ordered once the two orders cannot alternate, with clocks %i ms apart',
+		ahead => {
+			expect(ordersWithin(succeed(ahead, 3_600), 400)).toHaveLength(1);
+			const harness = succeed(ahead, 600);
+			expect(ordersWithin(harness, 2_800)).toEqual([]);
+			expect(ordersWithin(harness, 400)).toHaveLength(1);
+		},
+	);
+});
