Believe an answer with an earlier start only beside an entry that names it

The job of the test had failed: `job-failed`, `crashedWorkers: 2`.

Cause: since entries are claims, each answer of a worker made the incarnation that it names the current one, also an earlier one. A single faulty answer was thus a restart, and the next true answer a second one. Each counts as a crash under the runs of the worker, and two of them fail a job.

Change: an answer that names an earlier start than the one that the worker has confirmed counts only if the newest entry of the worker names it too, which covers a restart after a clock was set back. Otherwise it counts as silence, so that leases run out.

--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -141,10 +141,17 @@
 		}
 	};
 
+	/** An answer that names an incarnation that cannot be the current one is no answer of the worker that was polled. */
+	const rejectIncarnation = (state: WorkerState, incarnation: number, now: number): void => {
+		counters.add('listings_of_other_incarnations_total');
+		markUnreachable(state, `the answer names the incarnation ${incarnation}`, now);
+	};
+
 	/** The worker says that it is another incarnation: it has restarted, or the entry was not its own. */
 	const handleOtherIncarnation = (state: WorkerState, incarnation: number, now: number): void => {
 		const other = workers.getOrCreate(state.worker, incarnation);
-		if (other.hasEnded) {
+		if (other.hasEnded || !workers.mayConfirm(other)) {
+			rejectIncarnation(state, incarnation, now);
 			return;
 		}
 		if (other.claimedEntry === undefined && state.claimedEntry !== undefined) {
@@ -170,6 +177,10 @@
 			return;
 		}
 		if (!isConfirmed(state) || workers.byName(state.worker) !== state) {
+			if (!workers.mayConfirm(state)) {
+				rejectIncarnation(state, listing.incarnation, now);
+				return;
+			}
 			incarnations.confirm(state, now);
 		}
 		if (listing.clockMs < (state.clock?.clockMs ?? 0)) {
--- a/packages/engine/src/common/workers/workerTable.ts
+++ b/packages/engine/src/common/workers/workerTable.ts
@@ -44,6 +44,12 @@
 	isCertain(state: WorkerState): boolean;
 	/** Returns the state of an incarnation, creating it if needed. */
 	getOrCreate(worker: string, incarnation: number): WorkerState;
+	/**
+	 * Whether an answer of the worker may make an incarnation the current one. A later start than the confirmed one always may.
+	 * An earlier start may only if the newest entry names it too, as after a restart with a clock that was set back: an answer
+	 * alone may be faulty, or a late one of a former incarnation.
+	 */
+	mayConfirm(state: WorkerState): boolean;
 	/** Makes an incarnation the current one, because the worker itself has confirmed it. */
 	confirm(state: WorkerState): void;
 	/** Applies a change of the workers' entries. @returns the incarnation affected by the change */
@@ -68,6 +74,8 @@
 	const incarnations = new Map<string, WorkerState>();
 	const incarnationsByName = new Map<string, Set<WorkerState>>();
 	const currentByName = new Map<string, WorkerState>();
+	/** Incarnation that the newest entry of each listed worker names. */
+	const newestClaims = new Map<string, number>();
 	/** Names of the workers that were seen on a host and have not been removed yet. */
 	const namesByHost = new Map<string, Set<string>>();
 	/** Hosts by the worker that the host service lists on them. */
@@ -125,6 +133,7 @@
 	const incarnationsOf = (worker: string): readonly WorkerState[] => [...(incarnationsByName.get(worker) ?? [])];
 
 	const applyMissingEntry = (worker: string, now: number): WorkerState | undefined => {
+		newestClaims.delete(worker);
 		incarnationsOf(worker).forEach(state => markUnlisted(state, now));
 		return currentByName.get(worker);
 	};
@@ -139,6 +148,16 @@
 		return state;
 	};
 
+	const mayConfirm = (state: WorkerState): boolean => {
+		const current = currentByName.get(state.worker);
+		return (
+			current === undefined ||
+			!isConfirmed(current) ||
+			state.incarnation >= current.incarnation ||
+			newestClaims.get(state.worker) === state.incarnation
+		);
+	};
+
 	const confirm = (state: WorkerState): void => {
 		currentByName.set(state.worker, state);
 		if (state.claimedEntry !== undefined) {
@@ -164,6 +183,7 @@
 		const [next] = incarnationsOf(state.worker);
 		if (next === undefined) {
 			incarnationsByName.delete(state.worker);
+			newestClaims.delete(state.worker);
 		} else {
 			currentByName.set(state.worker, next);
 		}
@@ -185,6 +205,7 @@
 		},
 		isCertain: ({ reachability, worker }) => reachability === 'answering' || listedByWorker.has(worker),
 		getOrCreate,
+		mayConfirm,
 		confirm,
 		applyEntryChange: ({ key, value }, now) => {
 			if (value === undefined) {
@@ -194,6 +215,7 @@
 				return applyUnreadableEntry(key, now);
 			}
 			const state = getOrCreate(value.worker, value.incarnation);
+			newestClaims.set(value.worker, value.incarnation);
 			if (state.hasEnded) {
 				return state;
 			}
--- a/packages/engine/src/test/oddEntries.test.ts
+++ b/packages/engine/src/test/oddEntries.test.ts
@@ -156,6 +156,38 @@
 	});
 });
 
+describe('an answer that names an earlier start than the one that the worker has confirmed', () => {
+	const answer = (harness: EngineHarness): void => {
+		const listing = { incarnation: 0, clockMs: 5, running: [], ended: [] };
+		harness.engine.monitor.pollAnswered('w0@1', { type: 'listed', listing }, harness.now);
+	};
+
+	// Two such answers counted as two crashes of the worker, and the job that ran on it failed.
+	it('does not end the runs of the worker', () => {
+		const harness = createEngineHarness(options);
+		harness.addWorker('w0', 'desk');
+		harness.submit('0000000000000001', 'desk', oneTask);
+		harness.advance(100);
+		expect(harness.confirmStarts()).toBe(1);
+		harness.advance(300);
+		for (let count = 0; count < 3; count++) {
+			answer(harness);
+			harness.advance(200);
+		}
+		expect(harness.journal.filter(({ type }) => type === 'dropped' || type === 'failed')).toEqual([]);
+	});
+
+	it('counts as silence, so that the leases of a worker that is gone run out', () => {
+		const harness = createEngineHarness(options);
+		const worker = harness.addWorker('w0', 'desk');
+		harness.setSilent(worker, true);
+		answer(harness);
+		harness.submit('0000000000000001', 'desk', oneTask);
+		harness.advance(200);
+		expect(startedOn(harness.takeEffects())).toEqual([]);
+	});
+});
+
 describe('a worker that has restarted after its clock was set back', () => {
 	// Its entries were taken for those of an earlier incarnation.
 	it('receives work once it answers', () => {
