Search for workers once for all steps of a backlog that fit nowhere

What callers saw: in an overload, and above all after a hand-over in a peak, tasks were started up to 1.5 s after they had got a worker, so that almost all jobs were late, also those that had just come.

Cause: each scheduling pass looked at all workers of the pool for each step of the backlog, and at all workers again for each worker that it withholds for a step that fits nowhere. The time of a pass grows with the backlog; at 100 passes a second it takes the leader a large share of the processor time that starts need.

Change: a step that is at least as large as one that has just found no worker is not searched for, since workers only lose resources during a pass. Workers are withheld for such steps only once another task would take one. The decisions are the same. The search moves to poolSearch.ts.

--- a/packages/engine/src/common/scheduling/placement.ts
+++ b/packages/engine/src/common/scheduling/placement.ts
@@ -1,10 +1,4 @@
-import {
-	addResources,
-	fitsInto,
-	dominantShare,
-	subtractResources,
-	type Resources,
-} from '@chestnutwheel/ports/common/resources.js';
+import { dominantShareBeside, fitsBeside, fitsInto, type Resources } from '@chestnutwheel/ports/common/resources.js';
 import type { StepSpec } from '@chestnutwheel/ports/common/jobSpec.js';
 import type { Step, Task } from '../jobs/job.js';
 import type { WorkerState } from '../workers/workerState.js';
@@ -109,7 +103,7 @@
 	let best: SchedulableWorker | undefined;
 	let bestShare = Infinity;
 	for (const worker of workers) {
-		const share = dominantShare(addResources(worker.state.usedResources, demand), worker.resources);
+		const share = dominantShareBeside(demand, worker.state.usedResources, worker.resources);
 		if (
 			share < bestShare &&
 			fitsInto(demand, worker.resources) &&
@@ -140,7 +134,7 @@
 	for (const worker of options.workers) {
 		const { state, resources, rack } = worker;
 		if (
-			!fitsInto(demand, subtractResources(resources, state.usedResources)) ||
+			!fitsBeside(demand, state.usedResources, resources) ||
 			!hasRequiredLabel(spec, worker) ||
 			(options.onlyRack !== undefined && rack !== options.onlyRack) ||
 			options.allowedWorkers?.has(state.worker) === false ||
@@ -149,7 +143,7 @@
 		) {
 			continue;
 		}
-		const share = dominantShare(addResources(state.usedResources, demand), resources);
+		const share = dominantShareBeside(demand, state.usedResources, resources);
 		const score =
 			(spec.isLasting ? share : -share) +
 			worker.suspicion +
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -1,11 +1,4 @@
-import {
-	addResources,
-	fitsInto,
-	maximumResources,
-	noResources,
-	subtractResources,
-	type Resources,
-} from '@chestnutwheel/ports/common/resources.js';
+import { addResources, fitsInto, subtractResources } from '@chestnutwheel/ports/common/resources.js';
 import type { EngineContext } from '../engineContext.js';
 import type { Step, Task } from '../jobs/job.js';
 import type { StartedRun } from '../jobs/journalEvent.js';
@@ -15,7 +8,8 @@
 import { runKey, type WorkerState } from '../workers/workerState.js';
 import { compareUrgency, stepUrgency } from './stepUrgency.js';
 import { isOnTrial, trialKindOf } from './crashTrial.js';
-import { chooseWorker, effectiveDemand, chooseWorkerToReserve, type SchedulableWorker } from './placement.js';
+import { chooseWorker, effectiveDemand, type SchedulableWorker } from './placement.js';
+import { createPoolSearch, type PoolSearch } from './poolSearch.js';
 
 /** Maximum number of workers named in one advice request; each worker adds to the response time. */
 const WORKERS_PER_ADVICE_REQUEST = 12;
@@ -28,19 +22,6 @@
 	nextPassAt(now: number): number | undefined;
 }
 
-/** State of one pool during a pass. */
-interface PoolPassState {
-	/** Workers that may still receive runs in this pass. */
-	workers: readonly SchedulableWorker[];
-	/** Number of workers that may still be reserved for tasks that fit on no worker yet. */
-	remainingReservations: number;
-	/** Upper bound of the free resources of any worker, in each dimension; a larger demand skips the search. */
-	readonly maximumFree: Resources;
-}
-
-/** Maximum share of a pool's workers reserved for tasks that fit on no worker yet; service tasks may exceed it. */
-const MAXIMUM_RESERVED_SHARE = 0.34;
-
 /** If less than this share of a pool's workers would stay out of quarantine, none of them is quarantined. */
 const MINIMUM_OPEN_SHARE = 0.5;
 
@@ -109,11 +90,12 @@
 	 * Returns the workers that hold a valid ticket; requests tickets if none of these workers has free resources.
 	 * @returns `undefined` if the step's queue has no advice service
 	 */
-	const requestAdvice = (step: Step, pool: PoolPassState, now: number): ReadonlySet<string> | undefined => {
+	const requestAdvice = (step: Step, pool: PoolSearch, now: number): ReadonlySet<string> | undefined => {
 		const { job } = step.occurrence;
 		if (context.queues.get(job.accepted.queue)?.advice === undefined) {
 			return undefined;
 		}
+		pool.applyReservations();
 		const allowedWorkers = context.advice.allowedWorkers(step, now);
 		const demand = effectiveDemand(step.spec);
 		const hasFreeResources = ({ state, resources }: SchedulableWorker): boolean =>
@@ -145,7 +127,7 @@
 	/** Chooses a worker for each member of a gang; returns `undefined` if not all members can be placed. */
 	const placeGang = (
 		step: Step,
-		pool: Readonly<PoolPassState>,
+		pool: PoolSearch,
 		allowedWorkers: ReadonlySet<string> | undefined,
 	): ReadonlyMap<Task, SchedulableWorker> | undefined => {
 		const racks = step.spec.sameRack ? candidateRacks(step, pool.workers) : [step.spec.dataRack];
@@ -203,7 +185,8 @@
 		counters.add('starts_total', { queue: task.step.occurrence.job.accepted.queue });
 	};
 
-	const startGang = (step: Step, pool: PoolPassState, now: number): void => {
+	const startGang = (step: Step, pool: PoolSearch, now: number): void => {
+		pool.applyReservations();
 		const allowedWorkers = requestAdvice(step, pool, now);
 		if (step.waitingCount < step.tasks.length || !isWithinTeamCap(step, step.tasks.length)) {
 			return;
@@ -214,10 +197,10 @@
 		}
 		const run = step.lastGangRun + 1;
 		chosen.forEach((worker, task) => start(task, worker, run, now));
-		pool.workers = pool.workers.filter(({ state }) => !isOnTrial(state));
+		pool.withhold(({ state }) => isOnTrial(state));
 	};
 
-	const startTasks = (step: Step, pool: PoolPassState, now: number): void => {
+	const startTasks = (step: Step, pool: PoolSearch, now: number): void => {
 		const waitingBefore = step.waitingCount;
 		const readySince = step.tasks.find(({ state }) => state === 'waiting')?.readySince ?? now;
 		placeTasks(step, pool, now);
@@ -233,7 +216,7 @@
 		}
 	};
 
-	const placeTasks = (step: Step, pool: PoolPassState, now: number): void => {
+	const placeTasks = (step: Step, pool: PoolSearch, now: number): void => {
 		const allowedWorkers = requestAdvice(step, pool, now);
 		let hasReserved = false;
 		for (const task of step.tasks) {
@@ -248,17 +231,16 @@
 				return;
 			}
 			const trialKind = trialKindOf(task);
-			const worker = fitsInto(effectiveDemand(step.spec), pool.maximumFree)
-				? (chooseWorker(task, {
-						workers: pool.workers,
-						rackOf,
-						onlyRack: step.spec.dataRack,
-						allowedWorkers,
-					}) ?? chooseRemoteWorker(task, pool, allowedWorkers, now))
-				: undefined;
+			const worker = pool.find(
+				task,
+				allowedWorkers !== undefined,
+				workers =>
+					chooseWorker(task, { workers, rackOf, onlyRack: step.spec.dataRack, allowedWorkers }) ??
+					chooseRemoteWorker(task, workers, allowedWorkers, now),
+			);
 			if (worker === undefined) {
 				if (!hasReserved) {
-					reserveWorker(task, pool);
+					pool.reserveFor(task);
 					hasReserved = true;
 				}
 				if (trialKind === undefined) {
@@ -270,34 +252,18 @@
 			}
 			start(task, worker, task.lastRun + 1, now);
 			if (trialKind !== undefined) {
-				pool.workers = pool.workers.filter(other => other !== worker);
+				pool.withhold(other => other === worker);
 			}
 		}
 	};
 
-	/**
-	 * Withholds one worker from the rest of the pass so that a large task is not starved by a steady flow of small ones.
-	 * The worker with the smallest shortage of resources is chosen and receives no other run until the task fits.
-	 */
-	const reserveWorker = (task: Task, pool: PoolPassState): void => {
-		const { spec } = task.step;
-		if (pool.remainingReservations <= 0 && !spec.isLasting) {
-			return;
-		}
-		const worker = chooseWorkerToReserve(task, pool.workers);
-		if (worker !== undefined) {
-			pool.remainingReservations--;
-			pool.workers = pool.workers.filter(other => other !== worker);
-		}
-	};
-
 	/**
 	 * Chooses a worker outside the rack of the task's data. Remote tasks take several times as long, so the task first
 	 * waits for twice its expected duration for resources in that rack.
 	 */
 	const chooseRemoteWorker = (
 		task: Task,
-		pool: PoolPassState,
+		poolWorkers: readonly SchedulableWorker[],
 		allowedWorkers: ReadonlySet<string> | undefined,
 		now: number,
 	): SchedulableWorker | undefined => {
@@ -310,18 +276,11 @@
 			requestPassAt(task.readySince + maximumWaitMs);
 			return undefined;
 		}
-		return chooseWorker(task, { workers: pool.workers, rackOf, allowedWorkers });
+		return chooseWorker(task, { workers: poolWorkers, rackOf, allowedWorkers });
 	};
 
 	const schedulePool = (steps: Step[], poolWorkers: readonly SchedulableWorker[], now: number): void => {
-		const pool: PoolPassState = {
-			workers: poolWorkers,
-			remainingReservations: Math.floor(poolWorkers.length * MAXIMUM_RESERVED_SHARE),
-			maximumFree: poolWorkers.reduce(
-				(most, { state, resources }) => maximumResources(most, subtractResources(resources, state.usedResources)),
-				noResources,
-			),
-		};
+		const pool = createPoolSearch(poolWorkers, counters);
 		const ordered = steps
 			.map(step => ({
 				step,
--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -1,4 +1,4 @@
-import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import { createCounters, type Counters } from '@chestnutwheel/base/common/counters.js';
 import type { FleetPlan, PoolPlan, QueuePlan, TeamPlan } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { JobSpec, StepSpec } from '@chestnutwheel/ports/common/jobSpec.js';
@@ -120,6 +120,8 @@
 	readonly now?: number;
 	/** Receives the decision lines of the engine. */
 	readonly logDecision?: DecisionLogger;
+	/** Receives the counters of the engine. */
+	readonly counters?: Counters;
 }
 
 const TICK_INTERVAL_MS = 20;
@@ -137,7 +139,7 @@
 	};
 	const engine = createEngine({
 		settings: modelSettings,
-		counters: createCounters(),
+		counters: options.counters ?? createCounters(),
 		logDecision: options.logDecision ?? (() => undefined),
 		wallNow: () => now,
 	});
--- a/packages/ports/src/common/resources.ts
+++ b/packages/ports/src/common/resources.ts
@@ -41,12 +41,24 @@
 	);
 }
 
+/** Whether a demand fits into what the used resources leave of a capacity. */
+export function fitsBeside(demand: Resources, used: Resources, capacity: Resources): boolean {
+	return (
+		demand.milliCores <= capacity.milliCores - used.milliCores &&
+		demand.memoryMb <= capacity.memoryMb - used.memoryMb &&
+		demand.accelerators <= capacity.accelerators - used.accelerators
+	);
+}
+
+function shareOf(need: number, total: number): number {
+	return need <= 0 ? 0 : total <= 0 ? Infinity : need / total;
+}
+
 /**
  * Returns the dominant share: the largest fraction of the capacity that a demand takes in any dimension. It is infinite
  * when a needed dimension has no capacity.
  */
 export function dominantShare(demand: Resources, capacity: Resources): number {
-	const shareOf = (need: number, total: number): number => (need <= 0 ? 0 : total <= 0 ? Infinity : need / total);
 	return Math.max(
 		shareOf(demand.milliCores, capacity.milliCores),
 		shareOf(demand.memoryMb, capacity.memoryMb),
@@ -54,6 +66,15 @@
 	);
 }
 
+/** Returns the dominant share of a demand together with the resources that are used already. */
+export function dominantShareBeside(demand: Resources, used: Resources, capacity: Resources): number {
+	return Math.max(
+		shareOf(used.milliCores + demand.milliCores, capacity.milliCores),
+		shareOf(used.memoryMb + demand.memoryMb, capacity.memoryMb),
+		shareOf(used.accelerators + demand.accelerators, capacity.accelerators),
+	);
+}
+
 /** Returns the larger value in each dimension. */
 export function maximumResources(left: Resources, right: Resources): Resources {
 	return {
