Poll workers less often while the leader is short of processor time

What callers saw: after a hand-over in a peak, tasks were started 0.5 s to 1.5 s after they had got a worker, for as long as the peak lasted.

Cause: a worker is polled again 30 ms after its last poll if results are there, whatever the leader has to do. An end costs a poll of its own, even if the leader needs much longer than that until it can use the resources.

Change: the interval is three times the average lateness of the leader's timers, 30 ms at least and 250 ms at most. A tick that is due is no longer scheduled anew with each answer.

--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -13,6 +13,8 @@
 import type { LeaderIdentity } from '../../common/peerProtocol.js';
 import { parseTaskName } from '@chestnutwheel/engine/common/jobs/taskName.js';
 import { JOURNAL_STALL_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
+import { pollIntervalMs } from '../../common/pollInterval.js';
+import { createTimerLag } from '../../common/timerLag.js';
 import type { TermProof } from '../../common/termProof.js';
 import { createJournalWriter, type JournalWriter } from '../journal/journalWriter.js';
 import { takeOverJournal, type BlockedListener } from '../journal/readJournal.js';
@@ -112,6 +114,7 @@
 	let lastAddedBatch = 0;
 	let timer: NodeJS.Timeout | undefined;
 	let lastTickAt = -Infinity;
+	let nextTickAt = Infinity;
 
 	const journal = createJournalWriter(
 		{
@@ -185,7 +188,15 @@
 		flush: () => flush(),
 		isTermConfirmed: () => proof.ageMs() < settings.engine.validMs,
 	};
-	const poller = createWorkerPoller({ ...sharedOptions, whenAllStored: () => whenStored(lastAddedBatch) }, active);
+	const timerLag = createTimerLag();
+	const poller = createWorkerPoller(
+		{
+			...sharedOptions,
+			pollIntervalMs: () => pollIntervalMs(timerLag.averageMs),
+			whenAllStored: () => whenStored(lastAddedBatch),
+		},
+		active,
+	);
 	const orders = createWorkerOrders(sharedOptions, active);
 	const hostOrders = createHostOrderTask(
 		{
@@ -253,6 +264,7 @@
 	const tick = (): void => {
 		timer = undefined;
 		lastTickAt = clock.now();
+		timerLag.record(lastTickAt - nextTickAt);
 		checkJournal(lastTickAt);
 		engine.tick(lastTickAt);
 		flush();
@@ -262,9 +274,13 @@
 			return;
 		}
 		const now = clock.now();
-		const at = Math.max(engine.nextTickAt(now), lastTickAt + MINIMUM_TICK_INTERVAL_MS);
+		if (timer !== undefined && nextTickAt <= now) {
+			// The next tick is due already, and runs as soon as the event loop gets to its timer.
+			return;
+		}
+		nextTickAt = Math.max(now, engine.nextTickAt(now), lastTickAt + MINIMUM_TICK_INTERVAL_MS);
 		clearTimeout(timer);
-		timer = setTimeout(tick, Math.max(0, at - now));
+		timer = setTimeout(tick, nextTickAt - now);
 	};
 	const flush = (): void => {
 		const { events, batch, effectsWhenStored: afterBatch, immediateEffects: atOnce } = engine.takeOutput();
--- a/packages/coordinator/src/node/leader/workerPoller.ts
+++ b/packages/coordinator/src/node/leader/workerPoller.ts
@@ -5,9 +5,6 @@
 import type { WorkerAddress, WorkerService } from '@chestnutwheel/ports/common/workerService.js';
 import type { CoordinatorSettings } from '../../common/coordinatorSettings.js';
 
-/** Minimum interval between two polls of one worker, so that results close in time are read together. */
-const MINIMUM_POLL_INTERVAL_MS = 30;
-
 /** Delay after an unanswered poll. */
 const RETRY_DELAY_MS = 120;
 
@@ -22,6 +19,8 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly flush: () => void;
+	/** Returns the minimum interval between two polls of one worker, in milliseconds. */
+	readonly pollIntervalMs: () => number;
 	/** Returns whether the term was confirmed recently enough to extend leases. */
 	readonly isTermConfirmed: () => boolean;
 	/** Resolves when all events recorded so far are stored. Rejects when the term ends before. */
@@ -36,7 +35,7 @@
 
 /** Creates a worker poller that stops when the signal is aborted. */
 export function createWorkerPoller(options: WorkerPollerOptions, signal: AbortSignal): WorkerPoller {
-	const { engine, workers, settings, clock, counters, flush, isTermConfirmed, whenAllStored } = options;
+	const { engine, workers, settings, clock, counters, flush, pollIntervalMs, isTermConfirmed, whenAllStored } = options;
 	const controllers = new Map<string, AbortController>();
 
 	const pollWorker = async (workerKey: string, address: WorkerAddress, stopped: AbortSignal): Promise<void> => {
@@ -66,7 +65,7 @@
 			if (hasResults) {
 				await waitUntilStored(stopped);
 			}
-			const delayMs = sentAt + MINIMUM_POLL_INTERVAL_MS - clock.now();
+			const delayMs = sentAt + pollIntervalMs() - clock.now();
 			if (delayMs > 0) {
 				await delay(delayMs, stopped);
 			}
