--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -171,7 +171,7 @@
 			uptimeMs: Math.round(clock.now() - startedAt),
 		}),
 		election,
-		term: () => termLeader.term(),
+		whenTermBegun: withinMs => termLeader.whenBegun(withinMs),
 		blockedSince: () => termLeader.blockedSince(),
 		planCache,
 		isStoreReachable: () => isStoreServing(STORE_PROBE_TIMEOUT_MS),
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -8,14 +8,20 @@
 import type { LeaderElection } from '../leadership/leaderElection.js';
 import { newestWaveOf, type PlanCache } from '../plan/planCache.js';
 
+/** Longest time for which a leader that is taking over the journal lets a call wait, in milliseconds. */
+const TAKEOVER_WAIT_MS = 250;
+
 /** Options of {@link createPeerHandlers}. */
 export interface PeerHandlersOptions {
 	readonly self: { readonly entryHost: string };
 	/** Returns whether this daemon may lead, and for how long its process has run. */
 	readonly status: () => Omit<FollowerStatus, 'entryHost'>;
 	readonly election: LeaderElection;
-	/** Returns the term of this daemon while it leads. */
-	readonly term: () => LeaderTerm | undefined;
+	/**
+	 * Resolves with the term of this daemon while it leads. A leader that is taking over the journal has its callers wait for
+	 * some time, since each of them would otherwise ask again every few milliseconds.
+	 */
+	readonly whenTermBegun: (withinMs: number) => Promise<LeaderTerm | undefined>;
 	/** Returns the time since which the store does not serve the takeover of the journal by this daemon, if it does not. */
 	readonly blockedSince: () => number | undefined;
 	readonly planCache: PlanCache;
@@ -29,8 +35,9 @@
 
 /** Creates the handlers of the peer protocol. */
 export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
-	const { self, status, election, term, blockedSince, planCache, isStoreReachable, clock } = options;
+	const { self, status, election, whenTermBegun, blockedSince, planCache, isStoreReachable, clock } = options;
 	const { log, workerFeed, signal } = options;
+	const currentTerm = (): Promise<LeaderTerm | undefined> => whenTermBegun(TAKEOVER_WAIT_MS);
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
 
 	return {
@@ -50,33 +57,31 @@
 				...status(),
 			};
 		},
-		'job.submit': submission => {
-			const currentTerm = term();
+		'job.submit': async submission => {
+			const term = await currentTerm();
 			const now = clock.now();
-			if (currentTerm !== undefined) {
-				return submitOnLeader(currentTerm, submission, now);
+			if (term !== undefined) {
+				return submitOnLeader(term, submission, now);
 			}
 			const since = blockedSince();
 			return (since === undefined ? undefined : refuseWhileBlocked(now - since)) ?? notLeading();
 		},
 		'job.cancel': async ({ id, team }) => {
-			const currentTerm = term();
-			if (currentTerm === undefined) {
+			const term = await currentTerm();
+			if (term === undefined) {
 				return notLeading();
 			}
-			const decision = currentTerm.engine.cancel(id, team, clock.now());
-			currentTerm.flush();
+			const decision = term.engine.cancel(id, team, clock.now());
+			term.flush();
 			if (decision.type === 'cancelled') {
-				await currentTerm.whenStored(decision.batch);
+				await term.whenStored(decision.batch);
 			}
 			return decision;
 		},
-		'job.state': ({ id, team }) => term()?.engine.state(id, team) ?? notLeading(),
-		'queue.pending': ({ queue }) => {
-			const currentTerm = term();
-			return currentTerm === undefined
-				? notLeading()
-				: { type: 'pending', pending: currentTerm.engine.pendingCount(queue) };
+		'job.state': async ({ id, team }) => (await currentTerm())?.engine.state(id, team) ?? notLeading(),
+		'queue.pending': async ({ queue }) => {
+			const term = await currentTerm();
+			return term === undefined ? notLeading() : { type: 'pending', pending: term.engine.pendingCount(queue) };
 		},
 		'plan.get': () => ({ plan: planCache.current(), waves: planCache.waves() }),
 		'plan.offer': ({ plan: offered }) => {
--- a/packages/coordinator/src/node/leader/leadTerm.ts
+++ b/packages/coordinator/src/node/leader/leadTerm.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { TermOutcome } from '../../common/candidacyPause.js';
 import type { LeaderIdentity } from '../../common/peerProtocol.js';
 import { createTermProof, type TermProof } from '../../common/termProof.js';
@@ -24,8 +25,11 @@
 export interface TermLeader<Term extends MaintainedTerm> {
 	/** Leads until the signal is aborted or the term ends. The leader topic ends at the term when it is called. */
 	lead(identity: LeaderIdentity, predecessor: Predecessor, signal: AbortSignal): Promise<TermOutcome>;
-	/** Returns the current term once its engine runs. */
-	term(): Term | undefined;
+	/**
+	 * Resolves with the current term once its engine runs; with `undefined` if this daemon does not lead, or the journal is not
+	 * taken over within the given time.
+	 */
+	whenBegun(withinMs: number): Promise<Term | undefined>;
 	/** Gives up the current term, if there is one, because of an unexpected error. */
 	fail(error: unknown): void;
 	/** Returns the time since which the store does not serve the takeover of the journal, if it does not. */
@@ -37,11 +41,19 @@
 	const { clock, logDecision } = options;
 	let term: Term | undefined;
 	let blockedSince: number | undefined;
+	let takeover: Promise<unknown> | undefined;
 	let failure = new AbortController();
 
 	return {
-		term: () => term,
 		blockedSince: () => blockedSince,
+		whenBegun: async withinMs => {
+			if (term === undefined && takeover !== undefined && blockedSince === undefined) {
+				const waiting = new AbortController();
+				await Promise.race([takeover, delay(withinMs, waiting.signal)]);
+				waiting.abort();
+			}
+			return term;
+		},
 		fail: error => failure.abort(error),
 		lead: async (identity, predecessor, signal) => {
 			const controller = new AbortController();
@@ -60,6 +72,8 @@
 				term = begun;
 				return begun;
 			};
+			const begun = begin();
+			takeover = begun.catch(() => undefined);
 			try {
 				return await maintainTerm(
 					{
@@ -67,7 +81,7 @@
 						identity,
 						predecessor,
 						proof,
-						begun: begin(),
+						begun,
 						blockedSince: () => blockedSince,
 						failure: failure.signal,
 					},
@@ -76,6 +90,7 @@
 			} finally {
 				controller.abort();
 				term = undefined;
+				takeover = undefined;
 				blockedSince = undefined;
 			}
 		},
--- /dev/null
+++ b/packages/coordinator/src/test/leadTerm.test.ts
@@ -0,0 +1,102 @@
+import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import type { LogService } from '@chestnutwheel/ports/common/logService.js';
+import { beforeEach, describe, expect, it, vi } from 'vitest';
+import type { MemberList } from '../node/leadership/memberList.js';
+import type { MaintainedTerm } from '../node/leader/maintainTerm.js';
+import { createTermLeader, type TermLeader } from '../node/leader/leadTerm.js';
+import type { BlockedListener } from '../node/journal/readJournal.js';
+import type { PeerNetwork } from '../node/peers/peerNetwork.js';
+import type { PlanCache } from '../node/plan/planCache.js';
+import { createVirtualTime, type VirtualTime } from './virtualTime.js';
+
+const identity = { term: 1, entryHost: 'a', address: 'a:1' };
+const self = { entryHost: 'a', address: 'a:1', incarnation: 'a-1' };
+const begunTerm: MaintainedTerm = {
+	engine: { predecessorStopped: () => undefined },
+	flush: () => undefined,
+	quiesce: () => undefined,
+	lost: new Promise(() => undefined),
+	journal: { isBusy: false, unansweredSince: undefined },
+};
+
+let time: VirtualTime;
+let leader: TermLeader<MaintainedTerm>;
+let begin: () => void;
+let block: BlockedListener;
+
+vi.mock('@chestnutwheel/base/node/delay.js', () => ({
+	delay: (milliseconds: number, signal: AbortSignal) => time.sleep(milliseconds, signal),
+}));
+
+beforeEach(() => {
+	time = createVirtualTime();
+	leader = createTermLeader<MaintainedTerm>({
+		begin: (_identity, _proof, onBlocked) => {
+			block = onBlocked;
+			return new Promise(resolve => {
+				begin = () => resolve(begunTerm);
+			});
+		},
+		settings: {
+			aliveEveryMs: 250,
+			silenceMs: 800,
+			askPeersMs: 250,
+			beatEveryMs: 1_000,
+			standstillMs: 2_500,
+			validMs: 5_000,
+			standAfterMs: 0,
+			standFirstAfterMs: 0,
+		},
+		self,
+		log: {
+			append: () => Promise.resolve({ type: 'appended', offset: 0, end: 1 }),
+			keyedRecord: () => new Uint8Array(),
+		} as Partial<LogService> as LogService,
+		network: { incoming: () => [] } as Partial<PeerNetwork> as PeerNetwork,
+		members: { refresh: () => Promise.resolve(true), otherAddresses: () => [] } as Partial<MemberList> as MemberList,
+		planCache: { current: () => undefined, waves: () => [] } as Partial<PlanCache> as PlanCache,
+		clock: time.clock,
+		counters: createCounters(),
+		logDecision: () => undefined,
+		resignation: new AbortController().signal,
+		resignBy: () => Infinity,
+	});
+});
+
+// Each waiting caller asked the new leader again every 25 ms, a thousand times in all before it could start a task.
+describe('a call that arrives while the journal is being taken over', () => {
+	const lead = (): AbortController => {
+		const end = new AbortController();
+		void leader.lead(identity, { type: 'none' }, end.signal);
+		return end;
+	};
+
+	it('is handled as soon as the term has begun', async () => {
+		const end = lead();
+		const answer = vi.fn();
+		void leader.whenBegun(250).then(answer);
+		await time.advance(100);
+		expect(answer).not.toHaveBeenCalled();
+		begin();
+		await time.advance(0);
+		expect(answer).toHaveBeenCalledWith(begunTerm);
+		end.abort();
+	});
+
+	it('is turned away after the given time', async () => {
+		const end = lead();
+		const answer = vi.fn();
+		void leader.whenBegun(250).then(answer);
+		await time.advance(260);
+		expect(answer).toHaveBeenCalledWith(undefined);
+		end.abort();
+	});
+
+	it('is turned away at once while the store does not serve the takeover, and by a daemon that does not lead', async () => {
+		expect(await leader.whenBegun(250)).toBeUndefined();
+		const end = lead();
+		block(true);
+		expect(await leader.whenBegun(250)).toBeUndefined();
+		end.abort();
+	});
+});
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -345,7 +345,7 @@
 			self,
 			status: () => ({ canLead: !draining.signal.aborted, uptimeMs: clock.now() - startedAt }),
 			election,
-			term: () => undefined,
+			whenTermBegun: () => Promise.resolve(undefined),
 			blockedSince: () => termLeader.blockedSince(),
 			planCache: noPlan,
 			log,
