--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
-import type { LogService } from '@chestnutwheel/ports/common/logService.js';
+import type { LogService, ReadOutcome } from '@chestnutwheel/ports/common/logService.js';
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import { termReactions } from '../../common/storeReactions.js';
@@ -46,8 +46,11 @@
 	let bytes = 0;
 	let unreadable = 0;
 	let retryDelayMs = FIRST_RETRY_DELAY_MS;
+	const read = (): Promise<ReadOutcome> => log.read('journal', from, NO_WAIT_MS, signal);
+	let pendingRead: Promise<ReadOutcome> | undefined;
 	while (from < end) {
-		const outcome = await log.read('journal', from, NO_WAIT_MS, signal);
+		const outcome = await (pendingRead ?? read());
+		pendingRead = undefined;
 		if (outcome.type === 'expired') {
 			from = outcome.first;
 			continue;
@@ -66,6 +69,10 @@
 		if (outcome.records.length === 0) {
 			break;
 		}
+		let offset = from;
+		from += outcome.records.length;
+		// The next records arrive while these are applied.
+		pendingRead = from < end ? read() : undefined;
 		for (const record of outcome.records) {
 			records++;
 			bytes += record.length;
@@ -74,11 +81,11 @@
 				unreadable++;
 			}
 			for (const event of events ?? []) {
-				if (!applyEvent(event, from, onEvent)) {
+				if (!applyEvent(event, offset, onEvent)) {
 					unreadable++;
 				}
 			}
-			from++;
+			offset++;
 		}
 	}
 	return { records, bytes, unreadable, appendLatencyMs };
