Look up the worker on a host without sorting all candidates

Cause: the plan of the pools looks up the worker of each host several times, ten times a second, and each lookup made a set and sorted it.

Change: one comparison for each candidate. The result is the same.

--- a/packages/engine/src/common/workers/workerTable.ts
+++ b/packages/engine/src/common/workers/workerTable.ts
@@ -197,11 +197,21 @@
 		incarnationsOf,
 		byHost: host => {
 			const listedWorker = listedWorkers.get(host);
-			const names = new Set([...(namesByHost.get(host) ?? []), ...(listedWorker === undefined ? [] : [listedWorker])]);
-			return [...names]
-				.flatMap(name => currentByName.get(name) ?? [])
-				.filter(({ hasEnded, entry, worker }) => !hasEnded && (entry?.host === host || worker === listedWorker))
-				.sort((left, right) => compareOccupants(left, right, listedWorker))[0];
+			let occupant: WorkerState | undefined;
+			const consider = (name: string): void => {
+				const state = currentByName.get(name);
+				if (state === undefined || state.hasEnded || (state.entry?.host !== host && name !== listedWorker)) {
+					return;
+				}
+				if (occupant === undefined || compareOccupants(state, occupant, listedWorker) < 0) {
+					occupant = state;
+				}
+			};
+			namesByHost.get(host)?.forEach(consider);
+			if (listedWorker !== undefined) {
+				consider(listedWorker);
+			}
+			return occupant;
 		},
 		isCertain: ({ reachability, worker }) => reachability === 'answering' || listedByWorker.has(worker),
 		getOrCreate,
