Have followers call the workers for the leader of a large fleet

The daemons were without power for half a second.

Cause: all polls and starts of the fleet go through one process, which needs about 1.25 ms of processor time for a task, and has 1.35 cores. It is 85 % busy at the peak (times by activity, trial on a scratch copy). A new leader opens a connection to each of 378 workers, reads their runs and starts what has waited, all at once and with code that has not run before: no task started for 2.9 s after the loss, and starts took 0.5 s to 1.5 s until 22 s. More than half of its time went into HTTP.

Change: up to eight followers, those with most processor time, make the polls and starts of the leader. The calls of one turn of the event loop, and the outcomes of 5 ms, are one message. A worker has one relay, chosen by the names alone, so that the connections outlive a change of the leader. The leader decides as before: leases, fences and acknowledgements travel with each call. Without a status of the relay for 0.7 s, or an outcome in time, a poll is made directly and a start is unknown, as if the worker had not answered. Relays that are much slower than the others get no calls for some time, nor does one that is about to stop. A follower makes no call for a leader that it knows to be replaced. Fleets with fewer than 12 followers are called as before.

--- a/packages/coordinator/src/common/coordinatorSettings.ts
+++ b/packages/coordinator/src/common/coordinatorSettings.ts
@@ -24,6 +24,8 @@
 	 * the results of these runs by this time.
 	 */
 	readonly busyLookWaitMs: number;
+	/** Number of followers from which on they make the calls of the leader to the workers. */
+	readonly relayFromFollowers: number;
 	/** Time from the termination signal until the process is killed. */
 	readonly graceMs: number;
 	/** Maximum number of decision lines written per second. Further lines are dropped and counted. */
--- a/packages/coordinator/src/common/peerProtocol.ts
+++ b/packages/coordinator/src/common/peerProtocol.ts
@@ -9,6 +9,7 @@
 import type { AppendConditions, AppendOutcome, LogTopic } from '@chestnutwheel/ports/common/logService.js';
 import type { WorkerEntry } from '@chestnutwheel/ports/common/workerService.js';
 import type { EncodedNewestOutcome, EncodedReadOutcome } from './relayCodec.js';
+import type { NumberedCall, NumberedOutcome } from './workerCalls.js';
 
 /** Identity of the leader, as daemons exchange it. */
 export interface LeaderIdentity {
@@ -38,6 +39,8 @@
 	readonly canLead: boolean;
 	/** Time since the process of the follower started, in milliseconds. */
 	readonly uptimeMs: number;
+	/** Whether the follower makes calls to workers for the leader. Earlier versions do not, and say nothing. */
+	readonly relaysWorkerCalls?: boolean | undefined;
 }
 
 /** Methods of the peer protocol: JSON-RPC 2.0 in both directions of one TCP connection. */
@@ -108,6 +111,13 @@
 		readonly parameters: { readonly from?: number | undefined };
 		readonly result: { readonly outcome: FeedOutcome<WorkerEntry> };
 	};
+	/** Has the peer call workers. It sends the outcomes with `workers.answered`. */
+	'workers.call': { readonly parameters: { readonly calls: readonly NumberedCall[] }; readonly result: undefined };
+	/** Outcomes of calls to workers. */
+	'workers.answered': {
+		readonly parameters: { readonly outcomes: readonly NumberedOutcome[] };
+		readonly result: undefined;
+	};
 	/** Returns whether the store currently serves the peer. */
 	'store.reachable': { readonly parameters: Record<string, never>; readonly result: { readonly reachable: boolean } };
 }
@@ -123,8 +133,21 @@
 	) => Promise<PeerMethods[Method]['result']> | PeerMethods[Method]['result'];
 };
 
+/** Method that is called without an answer. */
+export type PeerNotification = 'workers.call' | 'workers.answered';
+
+/** The peer at the other end of a connection. */
+export interface PeerCaller {
+	/** Calls a method that has no answer. The message is lost if the connection closes before it is read. */
+	notify<Method extends PeerNotification>(method: Method, parameters: PeerMethods[Method]['parameters']): void;
+	/** Signal that is aborted when the connection is closed. */
+	readonly closed: AbortSignal;
+}
+
 /** State of the connection on which a call was received. */
 export interface PeerSession {
 	/** Entry host of the peer; `undefined` until the hello exchange. */
 	peerName: string | undefined;
+	/** The peer; `undefined` for calls of this daemon itself. */
+	readonly peer: PeerCaller | undefined;
 }
--- a/packages/coordinator/src/common/peerSchemas.ts
+++ b/packages/coordinator/src/common/peerSchemas.ts
@@ -12,6 +12,34 @@
 
 const jobCall = z.object({ id: z.string().min(1), team: z.string().optional() });
 
+const target = z.object({ worker: z.string(), address: peerAddress });
+
+const workerCall = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('poll'),
+		target,
+		request: z.object({
+			fencingToken: z.number(),
+			acknowledged: z.number(),
+			leaseUntilMs: z.number().optional(),
+			waitMs: z.number().min(0).max(MAXIMUM_WAIT_MS),
+		}),
+	}),
+	z.object({
+		type: z.literal('start'),
+		target,
+		order: z.object({
+			task: z.string(),
+			run: z.number(),
+			fencingToken: z.number(),
+			payload: z.string(),
+			startByMs: z.number(),
+			checkpoint: z.string(),
+			ticket: z.string().optional(),
+		}),
+	}),
+]);
+
 const queue = z.object({
 	name: z.string(),
 	host: z.string(),
@@ -64,6 +92,9 @@
 	'store.read': z.object({ topic, from: z.number().min(0), waitMs: z.number().min(0).max(MAXIMUM_WAIT_MS) }),
 	'store.newest': z.object({ topic }),
 	'feed.workers': z.object({ from: z.number().min(0).optional() }),
+	'workers.call': z.object({ calls: z.array(z.tuple([z.number(), workerCall])) }),
+	// Each outcome is checked when it is decoded.
+	'workers.answered': z.object({ outcomes: z.array(z.unknown()) }),
 	'store.reachable': z.object({}),
 };
 
--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -25,6 +25,8 @@
 import { createRelayedLog } from './relay/relayedLog.js';
 import { createRelayedWorkerFeed } from './relay/relayedWorkerFeed.js';
 import { createStoreRelay } from './relay/storeRelay.js';
+import { createWorkerCallExecutor } from './relay/workerCallExecutor.js';
+import { createWorkerRelay } from './relay/workerRelay.js';
 import { createPlanCache } from './plan/planCache.js';
 
 /** Services of the platform that the daemon uses. */
@@ -68,6 +70,9 @@
  */
 const RESIGN_WITHIN_FRACTION = 0.75;
 
+/** Interval at which a relay closes the connections to workers that it does not call any more. */
+const IDLE_CONNECTIONS_CHECK_MS = 5_000;
+
 /** Number of lines of a stack trace that are logged with an unexpected error. */
 const STACK_LINES_LOGGED = 4;
 
@@ -112,6 +117,18 @@
 	);
 	const relayedLog = createRelayedLog(services.log, relay);
 	const relayedWorkerFeed = createRelayedWorkerFeed(services.workerFeed, relay);
+	const workerRelay = createWorkerRelay({
+		direct: services.workers,
+		clock,
+		counters,
+		relayFromFollowers: settings.relayFromFollowers,
+	});
+	const workerCalls = createWorkerCallExecutor({
+		workers: services.workers,
+		newestTerm: () => election.leader()?.term ?? 0,
+		clock,
+		counters,
+	});
 	const termLeader = createTermLeader<LeaderTerm>({
 		begin: (identity, proof, onBlocked, termSignal) =>
 			beginTerm(
@@ -120,6 +137,7 @@
 					settings,
 					...services,
 					log: relayedLog,
+					workers: workerRelay,
 					workerFeed: relayedWorkerFeed,
 					planCache,
 					clock,
@@ -142,6 +160,7 @@
 		logDecision,
 		resignation: drainController.signal,
 		resignBy: () => resignBy,
+		onFollowerStatus: (connection, status) => workerRelay.updateFollower(connection, status),
 	});
 	/** Records the time from the last contact to the previous leader to the first start of this term. */
 	const recordHandover = (term: number): void => {
@@ -169,6 +188,7 @@
 		status: () => ({
 			canLead: !isStopping && settings.leadership.standAfterMs === 0,
 			uptimeMs: Math.round(clock.now() - startedAt),
+			relaysWorkerCalls: !isStopping,
 		}),
 		election,
 		whenTermBegun: withinMs => termLeader.whenBegun(withinMs),
@@ -177,6 +197,8 @@
 		isStoreReachable: () => isStoreServing(STORE_PROBE_TIMEOUT_MS),
 		log: services.log,
 		workerFeed: services.workerFeed,
+		workerCalls,
+		workerRelay,
 		signal,
 		clock,
 	});
@@ -188,10 +210,18 @@
 		}
 	};
 
+	const closeIdleConnections = async (): Promise<void> => {
+		while (!signal.aborted) {
+			await delay(IDLE_CONNECTIONS_CHECK_MS, signal);
+			workerCalls.closeIdleConnections();
+		}
+	};
+
 	await network.listen(settings.peerListen);
 	void planCache.run(signal);
 	void monitorLoopDelay({ clock, counters, logDecision }, signal);
 	void register();
+	void closeIdleConnections();
 	const electionRun = election.run(signal);
 	electionRun.catch((error: unknown) => {
 		logDecision('leadership-failed', { reason: errorMessageOf(error) });
--- a/packages/coordinator/src/node/entry/leaderClient.ts
+++ b/packages/coordinator/src/node/entry/leaderClient.ts
@@ -82,7 +82,7 @@
 				const connection = election.leaderConnection();
 				try {
 					const result: Result = election.isLeading
-						? await (handlers()[method] as LocalHandler<Result>)(parameters, { peerName: undefined })
+						? await (handlers()[method] as LocalHandler<Result>)(parameters, { peerName: undefined, peer: undefined })
 						: ((await connection?.call(method, parameters, attemptMs)) ?? noLeader);
 					if (result.type === 'not-leading') {
 						await delay(RETRY_DELAY_MS, signal);
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -7,6 +7,8 @@
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
 import { newestWaveOf, type PlanCache } from '../plan/planCache.js';
+import type { WorkerCallExecutor } from '../relay/workerCallExecutor.js';
+import type { WorkerRelay } from '../relay/workerRelay.js';
 
 /** Longest time for which a leader that is taking over the journal lets a call wait, in milliseconds. */
 const TAKEOVER_WAIT_MS = 250;
@@ -26,6 +28,8 @@
 	readonly blockedSince: () => number | undefined;
 	readonly planCache: PlanCache;
 	readonly isStoreReachable: () => Promise<boolean>;
+	readonly workerCalls: WorkerCallExecutor;
+	readonly workerRelay: Pick<WorkerRelay, 'handleOutcomes'>;
 	/** Store of this daemon, to which it relays calls of a leader. */
 	readonly log: LogService;
 	readonly workerFeed: WorkerFeed;
@@ -36,7 +40,7 @@
 /** Creates the handlers of the peer protocol. */
 export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
 	const { self, status, election, whenTermBegun, blockedSince, planCache, isStoreReachable, clock } = options;
-	const { log, workerFeed, signal } = options;
+	const { log, workerFeed, workerCalls, workerRelay, signal } = options;
 	const currentTerm = (): Promise<LeaderTerm | undefined> => whenTermBegun(TAKEOVER_WAIT_MS);
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
 
@@ -98,6 +102,16 @@
 		'feed.workers': async ({ from }) => ({
 			outcome: from === undefined ? await workerFeed.snapshot(signal) : await workerFeed.changes(from, 0, signal),
 		}),
+		'workers.call': ({ calls }, { peer }) => {
+			if (peer !== undefined) {
+				workerCalls.execute(calls, peer);
+			}
+			return undefined;
+		},
+		'workers.answered': ({ outcomes }) => {
+			workerRelay.handleOutcomes(outcomes);
+			return undefined;
+		},
 		'store.reachable': async () => ({ reachable: await isStoreReachable() }),
 	};
 }
--- a/packages/coordinator/src/node/leader/followers.ts
+++ b/packages/coordinator/src/node/leader/followers.ts
@@ -1,6 +1,6 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
-import type { LeaderIdentity, PeerMethods } from '../../common/peerProtocol.js';
+import type { FollowerStatus, LeaderIdentity, PeerMethods } from '../../common/peerProtocol.js';
 import { chooseSuccessor, type SuccessorCandidate } from '../../common/successorChoice.js';
 import type { MemberList } from '../leadership/memberList.js';
 import type { PeerConnection } from '../peers/peerConnection.js';
@@ -41,11 +41,13 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly connectTimeoutMs: number;
+	/** Called whenever a follower has said what it can do for the leader. */
+	readonly onFollowerStatus: (connection: PeerConnection, status: FollowerStatus) => void;
 }
 
 /** Creates the followers of a term. */
 export function createFollowers(options: FollowersOptions): Followers {
-	const { identity, network, members, planCache, clock, counters, connectTimeoutMs } = options;
+	const { identity, network, members, planCache, clock, counters, connectTimeoutMs, onFollowerStatus } = options;
 	const statuses = new WeakMap<PeerConnection, SuccessorCandidate<string>>();
 
 	/** Brings the fleet plans of leader and follower in line; the store may be rejecting one of the two. */
@@ -72,6 +74,7 @@
 			const answer = await connection.call('leader.alive', parameters, FOLLOWER_CALL_TIMEOUT_MS);
 			const { entryHost: follower, canLead, uptimeMs } = answer;
 			statuses.set(connection, { follower, canLead, startedAt: clock.now() - uptimeMs });
+			onFollowerStatus(connection, answer);
 			await exchangePlans(connection, answer);
 		} catch {
 			counters.add('followers_silent_total');
--- a/packages/coordinator/src/node/leader/maintainTerm.ts
+++ b/packages/coordinator/src/node/leader/maintainTerm.ts
@@ -16,7 +16,7 @@
 import type { MemberList } from '../leadership/memberList.js';
 import type { PeerNetwork } from '../peers/peerNetwork.js';
 import type { PlanCache } from '../plan/planCache.js';
-import { createFollowers } from './followers.js';
+import { createFollowers, type FollowersOptions } from './followers.js';
 import type { LeaderTerm } from './leaderTerm.js';
 
 /** Timeout of a renewal of the leader record; a slow store needs 0.3 s and more. */
@@ -55,6 +55,7 @@
 	readonly clock: Clock;
 	readonly counters: Counters;
 	readonly logDecision: DecisionLogger;
+	readonly onFollowerStatus: FollowersOptions['onFollowerStatus'];
 	/** Aborted when the daemon is about to stop, so that the leader resigns. */
 	readonly resignation: AbortSignal;
 	/** Aborted, with the reason, when an unexpected error occurs in this process while it leads. */
--- a/packages/coordinator/src/node/peers/peerConnection.ts
+++ b/packages/coordinator/src/node/peers/peerConnection.ts
@@ -3,7 +3,7 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { kindError, errorMessageOf } from '@chestnutwheel/base/common/kindError.js';
 import { findInvalidParameter } from '../../common/peerSchemas.js';
-import type { PeerHandlers, PeerSession, PeerMethod, PeerMethods } from '../../common/peerProtocol.js';
+import type { PeerCaller, PeerHandlers, PeerSession, PeerMethod, PeerMethods } from '../../common/peerProtocol.js';
 
 /** Maximum size of one message; a plan with some thousands of queues fits. */
 const MAXIMUM_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -14,14 +14,12 @@
 const NEWLINE = 0x0a;
 
 /** Connection to a peer. Both ends may call methods. */
-export interface PeerConnection {
+export interface PeerConnection extends PeerCaller {
 	/** State of the connection that handlers see, such as the name of the peer. */
 	readonly session: PeerSession;
 	/** Time at which data was last received. */
 	readonly lastReceivedAt: number;
 	readonly isOpen: boolean;
-	/** Signal that is aborted when the connection is closed. */
-	readonly closed: AbortSignal;
 	/**
 	 * Calls a method of the peer.
 	 * @throws `peer-unreachable` when no response was received in time; the peer may or may not have executed the call
@@ -47,7 +45,6 @@
 /** Creates a peer connection on a connected socket. Messages are JSON texts, one per line. */
 export function createPeerConnection(options: PeerConnectionOptions): PeerConnection {
 	const { socket, handlers, counters, now, onClosed } = options;
-	const session: PeerSession = { peerName: undefined };
 	let lastReceivedAt = now();
 	let isOpen = true;
 	const closed = new AbortController();
@@ -95,6 +92,19 @@
 	});
 	const rpc = new JSONRPCServerAndClient<PeerSession>(server, client, { errorListener: onHandlerError });
 
+	const peer: PeerCaller = {
+		notify: (method, parameters) => {
+			try {
+				rpc.notify(method, parameters, undefined);
+			} catch {
+				// The connection is closed. Its loss is noticed by the signal.
+				counters.add('peer_notifications_unsent_total', { method });
+			}
+		},
+		closed: closed.signal,
+	};
+	const session: PeerSession = { peerName: undefined, peer };
+
 	const handleMessage = (line: Buffer): void => {
 		let message: unknown;
 		try {
@@ -133,6 +143,7 @@
 	};
 
 	const connection: PeerConnection = {
+		...peer,
 		session,
 		get lastReceivedAt() {
 			return lastReceivedAt;
@@ -140,7 +151,6 @@
 		get isOpen() {
 			return isOpen;
 		},
-		closed: closed.signal,
 		call: async (method, parameters, timeoutMs) => {
 			try {
 				return (await rpc
--- /dev/null
+++ b/packages/coordinator/src/node/relay/workerCallExecutor.ts
@@ -0,0 +1,148 @@
+import { setMaxListeners } from 'node:events';
+import type { Clock } from '@chestnutwheel/base/common/clock.js';
+import type { Counters } from '@chestnutwheel/base/common/counters.js';
+import type { PollOutcome, StartOutcome, WorkerService } from '@chestnutwheel/ports/common/workerService.js';
+import type { PeerCaller } from '../../common/peerProtocol.js';
+import { encodeOutcome, type NumberedCall, type NumberedOutcome, type WorkerCall } from '../../common/workerCalls.js';
+
+/** Time for which outcomes are collected into one message, in milliseconds. */
+const COLLECT_MS = 5;
+
+/** Time after the last call to an address at which its connections are closed, in milliseconds. */
+const IDLE_ADDRESS_MS = 15_000;
+
+/** Maximum number of calls under way for one leader. Further calls are not made, and their outcome says so. */
+const MAXIMUM_CALLS_UNDER_WAY = 4_000;
+
+/** Makes calls to workers for the leader, and sends it the outcomes in batches. */
+export interface WorkerCallExecutor {
+	/** Makes calls for a peer, as long as the connection to it is open. */
+	execute(calls: readonly NumberedCall[], peer: PeerCaller): void;
+	/** Closes the connections to addresses that have not been called for some time. */
+	closeIdleConnections(): void;
+}
+
+/** Options of {@link createWorkerCallExecutor}. */
+export interface WorkerCallExecutorOptions {
+	readonly workers: WorkerService;
+	/** Returns the newest term that is known. */
+	readonly newestTerm: () => number;
+	readonly clock: Clock;
+	readonly counters: Counters;
+}
+
+interface PeerState {
+	underWay: number;
+	outcomes: NumberedOutcome[];
+	readonly signal: AbortSignal;
+}
+
+/** Creates the executor of a daemon. */
+export function createWorkerCallExecutor(options: WorkerCallExecutorOptions): WorkerCallExecutor {
+	const { workers, newestTerm, clock, counters } = options;
+	const peers = new WeakMap<PeerCaller, PeerState>();
+	const lastCallAt = new Map<string, number>();
+
+	const stateOf = (peer: PeerCaller): PeerState => {
+		const known = peers.get(peer);
+		if (known !== undefined) {
+			return known;
+		}
+		// Each call under way listens to the signal.
+		setMaxListeners(0, peer.closed);
+		const created = { underWay: 0, outcomes: [], signal: peer.closed };
+		peers.set(peer, created);
+		return created;
+	};
+
+	const makeCall: {
+		readonly [Type in WorkerCall['type']]: (
+			call: Extract<WorkerCall, { type: Type }>,
+			signal: AbortSignal,
+		) => Promise<PollOutcome | StartOutcome>;
+	} = {
+		poll: ({ target, request }, signal) => workers.poll(target, request, signal),
+		start: ({ target, order }, signal) => workers.start(target, order, signal),
+	};
+
+	const outcomesOfCallsNotMade: Readonly<
+		Record<'fenced' | 'too-many', Readonly<Record<WorkerCall['type'], PollOutcome | StartOutcome>>>
+	> = {
+		/** A leader that has been replaced may not know it yet. */
+		fenced: {
+			poll: { type: 'refused', reason: 'fenced' },
+			start: { type: 'not-started', reason: 'fenced', clockMs: undefined },
+		},
+		'too-many': {
+			poll: { type: 'silent', reason: 'the relay makes too many calls' },
+			start: { type: 'not-started', reason: 'unhealthy', clockMs: undefined },
+		},
+	};
+
+	const fencingTokenOf: {
+		readonly [Type in WorkerCall['type']]: (call: Extract<WorkerCall, { type: Type }>) => number;
+	} = {
+		poll: ({ request }) => request.fencingToken,
+		start: ({ order }) => order.fencingToken,
+	};
+
+	const reasonNotToMake = (call: WorkerCall, { underWay }: PeerState): 'fenced' | 'too-many' | undefined => {
+		if ((fencingTokenOf[call.type] as (call: WorkerCall) => number)(call) < newestTerm()) {
+			return 'fenced';
+		}
+		return underWay >= MAXIMUM_CALLS_UNDER_WAY ? 'too-many' : undefined;
+	};
+
+	const addOutcome = (
+		number: number,
+		outcome: PollOutcome | StartOutcome,
+		state: PeerState,
+		peer: PeerCaller,
+	): void => {
+		state.outcomes.push([number, encodeOutcome(outcome)]);
+		if (state.outcomes.length > 1) {
+			return;
+		}
+		setTimeout(() => {
+			const outcomes = state.outcomes;
+			state.outcomes = [];
+			if (!state.signal.aborted) {
+				peer.notify('workers.answered', { outcomes });
+			}
+		}, COLLECT_MS);
+	};
+
+	return {
+		execute: (calls, peer) => {
+			const state = stateOf(peer);
+			const now = clock.now();
+			for (const [number, call] of calls) {
+				lastCallAt.set(call.target.address, now);
+				const reason = reasonNotToMake(call, state);
+				if (reason !== undefined) {
+					counters.add('worker_calls_not_made_total', { reason });
+					addOutcome(number, outcomesOfCallsNotMade[reason][call.type], state, peer);
+					continue;
+				}
+				state.underWay++;
+				counters.add('worker_calls_made_for_leader_total', { type: call.type });
+				void (makeCall[call.type] as (call: WorkerCall, signal: AbortSignal) => Promise<PollOutcome | StartOutcome>)(
+					call,
+					state.signal,
+				).then(outcome => {
+					state.underWay--;
+					addOutcome(number, outcome, state, peer);
+				});
+			}
+		},
+		closeIdleConnections: () => {
+			const now = clock.now();
+			for (const [address, calledAt] of lastCallAt) {
+				if (now > calledAt + IDLE_ADDRESS_MS) {
+					lastCallAt.delete(address);
+					workers.closeConnections(address);
+				}
+			}
+		},
+	};
+}
--- a/packages/coordinator/src/test/leadTerm.test.ts
+++ b/packages/coordinator/src/test/leadTerm.test.ts
@@ -60,6 +60,7 @@
 		logDecision: () => undefined,
 		resignation: new AbortController().signal,
 		resignBy: () => Infinity,
+		onFollowerStatus: () => undefined,
 	});
 });
 
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -196,7 +196,8 @@
 			return answer;
 		};
 		const end = {
-			session: { peerName: undefined },
+			session: { peerName: undefined, peer: undefined },
+			notify: () => undefined,
 			lastReceivedAt: time.clock.now(),
 			get isOpen() {
 				return !closed.signal.aborted && target.isRunning;
@@ -288,6 +289,7 @@
 			planCache: noPlan,
 			resignation: draining.signal,
 			resignBy: () => resignBy,
+			onFollowerStatus: () => undefined,
 			begin: async (identity, proof, onBlocked, termSignal) => {
 				const ignore = (): undefined => undefined;
 				const read = await takeOverJournal(relayedLog, identity.term, clock, ignore, onBlocked, termSignal);
@@ -350,6 +352,8 @@
 			planCache: noPlan,
 			log,
 			workerFeed: { snapshot: noEntries, changes: noEntries },
+			workerCalls: { execute: () => undefined, closeIdleConnections: () => undefined },
+			workerRelay: { handleOutcomes: () => undefined },
 			signal,
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
 			clock,
--- a/packages/coordinator/src/test/peerHandlers.test.ts
+++ b/packages/coordinator/src/test/peerHandlers.test.ts
@@ -31,11 +31,13 @@
 			planCache: {} as PlanCache,
 			log: {} as LogService,
 			workerFeed: {} as WorkerFeed,
+			workerCalls: { execute: () => undefined, closeIdleConnections: () => undefined },
+			workerRelay: { handleOutcomes: () => undefined },
 			signal: new AbortController().signal,
 			isStoreReachable: () => Promise.resolve(true),
 			clock: { now: () => 0, wallNow: () => 0 },
 		});
-		const answer = handlers['peer.hello']({ entryHost: 'front-2' }, { peerName: undefined });
+		const answer = handlers['peer.hello']({ entryHost: 'front-2' }, { peerName: undefined, peer: undefined });
 		isLeading = true;
 		decide();
 		expect(await answer).toEqual({ entryHost: 'front-1', leader: identity });
