--- a/packages/coordinator/src/common/peerSchemas.ts
+++ b/packages/coordinator/src/common/peerSchemas.ts
@@ -4,6 +4,10 @@
 /** An IPv4 address and a port, as daemons listen on. */
 const peerAddress = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/);
 
+const MAXIMUM_PORT = 65_535;
+
+const socketAddress = peerAddress.refine(address => Number(address.split(':')[1]) <= MAXIMUM_PORT);
+
 const identity = z.object({ term: z.number().int().min(1), entryHost: z.string().min(1), address: peerAddress });
 
 const MAXIMUM_WAIT_MS = 30_000;
@@ -12,7 +16,7 @@
 
 const jobCall = z.object({ id: z.string().min(1), team: z.string().optional() });
 
-const target = z.object({ worker: z.string(), address: peerAddress });
+const target = z.object({ worker: z.string(), address: socketAddress });
 
 const workerCall = z.discriminatedUnion('type', [
 	z.object({
--- a/packages/coordinator/src/test/workerRelay.test.ts
+++ b/packages/coordinator/src/test/workerRelay.test.ts
@@ -41,6 +41,7 @@
 	readonly connection: PeerConnection;
 	readonly workers: WorkerService;
 	messages: number;
+	answers: number;
 	calls: number;
 	isFrozen: boolean;
 	isStopping: boolean;
@@ -64,6 +65,7 @@
 	const follower: ModelFollower = {
 		name,
 		messages: 0,
+		answers: 0,
 		calls: 0,
 		isFrozen: false,
 		isStopping: false,
@@ -96,6 +98,7 @@
 	const leader = {
 		closed: closed.signal,
 		notify: (_method: string, parameters: object) => {
+			follower.answers++;
 			const { outcomes } = JSON.parse(JSON.stringify(parameters)) as { outcomes: readonly unknown[] };
 			relay.handleOutcomes(outcomes);
 		},
@@ -177,7 +180,7 @@
 		}
 		expect(directCalls).toEqual([]);
 		expect(followers.reduce((sum, { calls }) => sum + calls, 0)).toBe(200);
-		expect(followers.every(({ messages }) => messages === 1)).toBe(true);
+		expect(followers.every(({ messages, answers }) => messages === 1 && answers === 1)).toBe(true);
 	});
 
 	it('are made by itself while too few followers are known', async () => {
