Drop calls that a relay was given before it was suspended

Cause: a start that a relay reads after a suspension of its process or machine may be older than the time for which the leader keeps such starts from the next incarnation of the worker (12.5 s). The clock of a worker begins anew when it restarts, so that the deadline of the start would not hold it back.

Change: a relay that has not run for 1.5 s, by its monotonic or its wall clock, makes no call that it reads within 0.5 s. The outcome says truly that the start was not made.

--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -70,9 +70,6 @@
  */
 const RESIGN_WITHIN_FRACTION = 0.75;
 
-/** Interval at which a relay closes the connections to workers that it does not call any more. */
-const IDLE_CONNECTIONS_CHECK_MS = 5_000;
-
 /** Number of lines of a stack trace that are logged with an unexpected error. */
 const STACK_LINES_LOGGED = 4;
 
@@ -210,18 +207,11 @@
 		}
 	};
 
-	const closeIdleConnections = async (): Promise<void> => {
-		while (!signal.aborted) {
-			await delay(IDLE_CONNECTIONS_CHECK_MS, signal);
-			workerCalls.closeIdleConnections();
-		}
-	};
-
 	await network.listen(settings.peerListen);
 	void planCache.run(signal);
 	void monitorLoopDelay({ clock, counters, logDecision }, signal);
 	void register();
-	void closeIdleConnections();
+	void workerCalls.run(signal);
 	const electionRun = election.run(signal);
 	electionRun.catch((error: unknown) => {
 		logDecision('leadership-failed', { reason: errorMessageOf(error) });
--- a/packages/coordinator/src/node/relay/workerCallExecutor.ts
+++ b/packages/coordinator/src/node/relay/workerCallExecutor.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
+import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { PollOutcome, StartOutcome, WorkerService } from '@chestnutwheel/ports/common/workerService.js';
 import type { PeerCaller } from '../../common/peerProtocol.js';
 import { encodeOutcome, type NumberedCall, type NumberedOutcome, type WorkerCall } from '../../common/workerCalls.js';
@@ -14,12 +15,21 @@
 /** Maximum number of calls under way for one leader. Further calls are not made, and their outcome says so. */
 const MAXIMUM_CALLS_UNDER_WAY = 4_000;
 
+/** Interval at which the executor checks that its process runs, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Time for which the process has not run that makes the calls stale which it reads afterwards, in milliseconds. */
+const STALE_AFTER_MS = 1_500;
+
+/** Time for which calls count as stale after the process was suspended, in milliseconds. */
+const STALE_FOR_MS = 500;
+
 /** Makes calls to workers for the leader, and sends it the outcomes in batches. */
 export interface WorkerCallExecutor {
 	/** Makes calls for a peer, as long as the connection to it is open. */
 	execute(calls: readonly NumberedCall[], peer: PeerCaller): void;
-	/** Closes the connections to addresses that have not been called for some time. */
-	closeIdleConnections(): void;
+	/** Checks until the signal is aborted that the process was not suspended, and closes connections that are not used. */
+	run(signal: AbortSignal): Promise<void>;
 }
 
 /** Options of {@link createWorkerCallExecutor}. */
@@ -31,6 +41,9 @@
 	readonly counters: Counters;
 }
 
+/** Why a call is not made, which the outcome says truly. */
+type ReasonNotToMake = 'fenced' | 'stale' | 'too-many';
+
 interface PeerState {
 	underWay: number;
 	outcomes: NumberedOutcome[];
@@ -40,6 +53,9 @@
 /** Creates the executor of a daemon. */
 export function createWorkerCallExecutor(options: WorkerCallExecutorOptions): WorkerCallExecutor {
 	const { workers, newestTerm, clock, counters } = options;
+	let checkedAt = clock.now();
+	let checkedWallAt = clock.wallNow();
+	let staleUntil = -Infinity;
 	const peers = new WeakMap<PeerCaller, PeerState>();
 	const lastCallAt = new Map<string, number>();
 
@@ -66,13 +82,18 @@
 	};
 
 	const outcomesOfCallsNotMade: Readonly<
-		Record<'fenced' | 'too-many', Readonly<Record<WorkerCall['type'], PollOutcome | StartOutcome>>>
+		Record<ReasonNotToMake, Readonly<Record<WorkerCall['type'], PollOutcome | StartOutcome>>>
 	> = {
 		/** A leader that has been replaced may not know it yet. */
 		fenced: {
 			poll: { type: 'refused', reason: 'fenced' },
 			start: { type: 'not-started', reason: 'fenced', clockMs: undefined },
 		},
+		/** The worker may have restarted meanwhile, with a clock that begins anew, so that it would not refuse a late start. */
+		stale: {
+			poll: { type: 'silent', reason: 'the relay was suspended' },
+			start: { type: 'not-started', reason: 'late', clockMs: undefined },
+		},
 		'too-many': {
 			poll: { type: 'silent', reason: 'the relay makes too many calls' },
 			start: { type: 'not-started', reason: 'unhealthy', clockMs: undefined },
@@ -86,13 +107,36 @@
 		start: ({ order }) => order.fencingToken,
 	};
 
-	const reasonNotToMake = (call: WorkerCall, { underWay }: PeerState): 'fenced' | 'too-many' | undefined => {
+	/** Notices that the process was suspended. A suspended machine's monotonic clock stands, its wall clock does not. */
+	const checkSuspension = (): void => {
+		const now = clock.now();
+		if (Math.max(now - checkedAt, clock.wallNow() - checkedWallAt) > STALE_AFTER_MS) {
+			counters.add('suspensions_total');
+			staleUntil = now + STALE_FOR_MS;
+		}
+		checkedAt = now;
+		checkedWallAt = clock.wallNow();
+	};
+
+	const reasonNotToMake = (call: WorkerCall, { underWay }: PeerState): ReasonNotToMake | undefined => {
+		if (clock.now() < staleUntil) {
+			return 'stale';
+		}
 		if ((fencingTokenOf[call.type] as (call: WorkerCall) => number)(call) < newestTerm()) {
 			return 'fenced';
 		}
 		return underWay >= MAXIMUM_CALLS_UNDER_WAY ? 'too-many' : undefined;
 	};
 
+	const closeIdleConnections = (now: number): void => {
+		for (const [address, calledAt] of lastCallAt) {
+			if (now > calledAt + IDLE_ADDRESS_MS) {
+				lastCallAt.delete(address);
+				workers.closeConnections(address);
+			}
+		}
+	};
+
 	const addOutcome = (
 		number: number,
 		outcome: PollOutcome | StartOutcome,
@@ -114,6 +158,7 @@
 
 	return {
 		execute: (calls, peer) => {
+			checkSuspension();
 			const state = stateOf(peer);
 			const now = clock.now();
 			for (const [number, call] of calls) {
@@ -135,13 +180,11 @@
 				});
 			}
 		},
-		closeIdleConnections: () => {
-			const now = clock.now();
-			for (const [address, calledAt] of lastCallAt) {
-				if (now > calledAt + IDLE_ADDRESS_MS) {
-					lastCallAt.delete(address);
-					workers.closeConnections(address);
-				}
+		run: async signal => {
+			while (!signal.aborted) {
+				await delay(CHECK_INTERVAL_MS, signal);
+				checkSuspension();
+				closeIdleConnections(clock.now());
 			}
 		},
 	};
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -352,7 +352,7 @@
 			planCache: noPlan,
 			log,
 			workerFeed: { snapshot: noEntries, changes: noEntries },
-			workerCalls: { execute: () => undefined, closeIdleConnections: () => undefined },
+			workerCalls: { execute: () => undefined, run: () => Promise.resolve() },
 			workerRelay: { handleOutcomes: () => undefined },
 			signal,
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
--- a/packages/coordinator/src/test/workerRelay.test.ts
+++ b/packages/coordinator/src/test/workerRelay.test.ts
@@ -35,6 +35,10 @@
 const target = (number: number): WorkerAddress => ({ worker: `w${number}`, address: `10.0.0.${number}:1` });
 const unending = new AbortController().signal;
 
+vi.mock('@chestnutwheel/base/node/delay.js', () => ({
+	delay: (milliseconds: number) => new Promise(resolve => setTimeout(resolve, milliseconds)),
+}));
+
 /** A follower that makes calls; it answers them unless it is frozen. */
 interface ModelFollower {
 	readonly name: string;
@@ -95,6 +99,7 @@
 		clock,
 		counters: createCounters(),
 	});
+	void executor.run(closed.signal);
 	const leader = {
 		closed: closed.signal,
 		notify: (_method: string, parameters: object) => {
