Log which followers call the workers for the leader

Cause: a relay that is lost or slow shows in the metrics alone, so that a start that waited for one could not be traced from its id.

--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -118,6 +118,7 @@
 		direct: services.workers,
 		clock,
 		counters,
+		logDecision,
 		relayFromFollowers: settings.relayFromFollowers,
 	});
 	const workerCalls = createWorkerCallExecutor({
--- a/packages/coordinator/src/node/relay/workerRelay.ts
+++ b/packages/coordinator/src/node/relay/workerRelay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
+import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { WorkerService } from '@chestnutwheel/ports/common/workerService.js';
 import type { FollowerStatus } from '../../common/peerProtocol.js';
 import { chooseRelays, isSlowRelay, relayOf, type RelayCandidate } from '../../common/relayChoice.js';
@@ -38,6 +39,7 @@
 	readonly direct: WorkerService;
 	readonly clock: Clock;
 	readonly counters: Counters;
+	readonly logDecision: DecisionLogger;
 	/** Number of followers from which on calls are relayed. The leader of a small fleet makes them itself. */
 	readonly relayFromFollowers: number;
 }
@@ -54,6 +56,9 @@
 	handleOutcomes(outcomes: readonly unknown[]): void;
 }
 
+/** Why a relay gets no calls for some time. */
+type SuspensionReason = 'slow' | 'closed' | 'no-status' | 'no-answer';
+
 interface Follower extends RelayCandidate {
 	canLead: boolean;
 	/** Whether the follower accepts calls. One that is about to stop still sends the outcomes of those that it has. */
@@ -74,7 +79,8 @@
 }
 
 /** Creates a client that makes all calls directly until enough followers are known. */
-export function createWorkerRelay({ direct, clock, counters, relayFromFollowers }: WorkerRelayOptions): WorkerRelay {
+export function createWorkerRelay(options: WorkerRelayOptions): WorkerRelay {
+	const { direct, clock, counters, logDecision, relayFromFollowers } = options;
 	const followers = new Map<string, Follower>();
 	const directUntil = new Map<string, number>();
 	const pending = new Map<number, PendingCall>();
@@ -87,11 +93,18 @@
 	const isUsable = ({ connection, acceptsCalls, statusAt, suspendedUntil }: Follower, now: number): boolean =>
 		acceptsCalls && connection.isOpen && now < statusAt + STATUS_VALID_MS && now >= suspendedUntil;
 
+	const suspend = (relay: Follower, reason: SuspensionReason, now: number, details: object = {}): void => {
+		if (now >= relay.suspendedUntil) {
+			counters.add('worker_relays_suspended_total', { reason });
+			logDecision('worker-relay-suspended', { relay: relay.entryHost, reason, ...details });
+		}
+		relay.suspendedUntil = now + RELAY_SUSPENSION_MS;
+	};
+
 	const suspendSlowRelays = (now: number): void => {
 		const latencies = relays.map(({ latencyMs }) => latencyMs);
 		for (const relay of relays.filter(({ latencyMs }) => isSlowRelay(latencyMs, latencies))) {
-			counters.add('worker_relays_suspended_total', { reason: 'slow' });
-			relay.suspendedUntil = now + RELAY_SUSPENSION_MS;
+			suspend(relay, 'slow', now, { latencyMs: Math.round(relay.latencyMs) });
 			relay.latencyMs = 0;
 		}
 	};
@@ -110,8 +123,12 @@
 			});
 			suspendSlowRelays(now);
 			const usable = [...followers.values()].filter(follower => isUsable(follower, now));
-			relays = usable.length < relayFromFollowers ? [] : chooseRelays(usable);
-			counters.set('worker_relays', relays.length);
+			const chosen = usable.length < relayFromFollowers ? [] : chooseRelays(usable);
+			if (chosen.length !== relays.length) {
+				counters.set('worker_relays', chosen.length);
+				logDecision('worker-relays-chosen', { relays: chosen.length, before: relays.length, followers: usable.length });
+			}
+			relays = chosen;
 		}
 		return relayOf(relays, address);
 	};
@@ -125,7 +142,11 @@
 	const abandon = (number: number): void => {
 		const call = pending.get(number);
 		if (call !== undefined) {
-			call.relay.suspendedUntil = clock.now() + RELAY_SUSPENSION_MS;
+			const { relay, connection, deadline } = call;
+			const now = clock.now();
+			const reason = !connection.isOpen ? 'closed' : now > deadline ? 'no-answer' : 'no-status';
+			const statusAgeMs = Math.round(now - relay.statusAt);
+			suspend(relay, reason, now, { statusAgeMs, callsUnderWay: pending.size });
 			counters.add('worker_calls_unanswered_by_relay_total');
 			settle(number, undefined);
 		}
--- a/packages/coordinator/src/test/workerRelay.test.ts
+++ b/packages/coordinator/src/test/workerRelay.test.ts
@@ -57,6 +57,7 @@
 let now = 0;
 let relay: WorkerRelay;
 let directCalls: string[];
+let lines: string[];
 let followers: ModelFollower[];
 /** Newest term that the followers know. */
 let newestTerm: number;
@@ -150,6 +151,7 @@
 	now = 0;
 	newestTerm = 1;
 	directCalls = [];
+	lines = [];
 	const direct: WorkerService = {
 		poll: ({ worker }) => {
 			directCalls.push(`poll ${worker}`);
@@ -166,7 +168,13 @@
 		pace: () => Promise.resolve({ type: 'done', clockMs: 1 }),
 		closeConnections: () => undefined,
 	};
-	relay = createWorkerRelay({ direct, clock, counters: createCounters(), relayFromFollowers: 3 });
+	relay = createWorkerRelay({
+		direct,
+		clock,
+		counters: createCounters(),
+		logDecision: (decision, details) => lines.push(`${decision} ${String(details.reason ?? details.relays)}`),
+		relayFromFollowers: 3,
+	});
 	followers = ['a', 'b', 'c'].map(createFollower);
 	heartbeat();
 });
@@ -213,6 +221,7 @@
 		expect((await poll).type).toBe('listed');
 		expect((await start).type).toBe('silent');
 		expect(directCalls).toEqual(['poll w1']);
+		expect(lines).toEqual(['worker-relays-chosen 3', 'worker-relay-suspended closed']);
 	});
 
 	it('is noticed by its missing status, long before the calls would time out', async () => {
