Refuse a job only if no leader can have received it

Cause: the leader had stored the job and was killed before it answered. The daemon that had sent the job passed the refusal on.

The daemon that holds the call answers 503 at once if no leader can have received the job, and 504 at once if one can. Repeated calls carry `mayBeStored`, which the new leader remembers, so that a retry through another daemon is not refused either.

--- a/packages/coordinator/src/common/peerProtocol.ts
+++ b/packages/coordinator/src/common/peerProtocol.ts
@@ -24,6 +24,16 @@
 export interface NotLeader {
 	readonly type: 'not-leading';
 	readonly leader: LeaderIdentity | undefined;
+	/** Time for which the store has not served the takeover of the journal by this daemon, in milliseconds, if it does not. */
+	readonly takeoverBlockedMs?: number | undefined;
+	/** Whether an earlier leader may have stored the job that was submitted. The journal will show it. */
+	readonly mayBeStored?: boolean | undefined;
+}
+
+/** Parameters of `job.submit`. */
+export interface SubmitParameters extends Submission {
+	/** Whether an earlier call of this submission got no answer, so that the job may be stored already. */
+	readonly mayBeStored?: boolean | undefined;
 }
 
 /** Response of a leader whose fleet plan is older than that of the caller. The caller then sends its own plan. */
@@ -68,7 +78,7 @@
 		};
 		readonly result: { readonly planVersion: number; readonly newestWave: number } & FollowerStatus;
 	};
-	'job.submit': { readonly parameters: Submission; readonly result: SubmitDecision | NotLeader | StalePlan };
+	'job.submit': { readonly parameters: SubmitParameters; readonly result: SubmitDecision | NotLeader | StalePlan };
 	'job.cancel': {
 		readonly parameters: { readonly id: string; readonly team: string | undefined };
 		readonly result: CancelDecision | NotLeader;
--- a/packages/coordinator/src/common/peerSchemas.ts
+++ b/packages/coordinator/src/common/peerSchemas.ts
@@ -81,6 +81,7 @@
 		queue: z.string(),
 		team: z.string().optional(),
 		planVersion: z.number(),
+		mayBeStored: z.boolean().optional(),
 		spec: z.object({ payload: z.string(), steps: z.array(z.unknown()).min(1), repeats: z.number() }),
 	}),
 	'job.cancel': jobCall,
--- a/packages/coordinator/src/node/entry/jobSubmission.ts
+++ b/packages/coordinator/src/node/entry/jobSubmission.ts
@@ -1,9 +1,10 @@
-import { JOURNAL_STALL_MS, STALL_RETRY_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
+import { STALL_RETRY_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
 import type { Submission, SubmitDecision } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { PeerMethods } from '../../common/peerProtocol.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 
-const withdrawn: SubmitDecision = {
+/** Refusal of a job that the journal does not store at present, and of which no record will be. */
+export const journalUnavailable: SubmitDecision = {
 	type: 'refused',
 	kind: 'log-unavailable',
 	reason: 'the journal does not store the job at present',
@@ -28,14 +29,5 @@
 	if (decision.type === 'refused') {
 		return decision;
 	}
-	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored' ? decision : withdrawn;
-}
-
-/**
- * Answers a submission on a daemon that has obtained a term but cannot take over the journal.
- * @param blockedForMs time for which the store has not served the takeover
- * @returns `undefined` while the takeover may still succeed soon, so that the caller should wait for it
- */
-export function refuseWhileBlocked(blockedForMs: number): SubmitDecision | undefined {
-	return blockedForMs < JOURNAL_STALL_MS ? undefined : withdrawn;
+	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored' ? decision : journalUnavailable;
 }
--- a/packages/coordinator/src/node/entry/leaderClient.ts
+++ b/packages/coordinator/src/node/entry/leaderClient.ts
@@ -2,9 +2,11 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
+import { JOURNAL_STALL_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
 import type { NotLeader, PeerHandlers, PeerSession, PeerMethods, StalePlan } from '../../common/peerProtocol.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
 import type { PlanCache } from '../plan/planCache.js';
+import { journalUnavailable } from './jobSubmission.js';
 
 /** Methods of the peer protocol that only the leader executes. */
 export type LeaderMethod = 'job.submit' | 'job.cancel' | 'job.state' | 'queue.pending';
@@ -29,10 +31,20 @@
 	'queue.pending': Infinity,
 };
 
+/**
+ * Results of calls that no leader may have executed, while the store does not serve the takeover of the journal. The calls
+ * without an entry wait for the takeover.
+ */
+const resultsWhileBlocked: { readonly [Method in LeaderMethod]?: LeaderResult<Method> } = {
+	'job.submit': journalUnavailable,
+};
+
 /** Client that calls the current leader. All methods are idempotent, so unanswered attempts are retried. */
 export interface LeaderClient {
 	/**
-	 * Calls a method of the current leader, with retries until the deadline.
+	 * Calls a method of the current leader, with retries until the deadline. A submission ends earlier when the store does not
+	 * serve the leader's takeover of the journal: it is refused if no leader has received it, since only then it is certain that
+	 * its job never runs.
 	 * @param deadline time on the monotonic clock of this daemon, in milliseconds
 	 * @throws `no-leader` when no call was sent to a leader, `peer-unreachable` when one was and its outcome is unknown
 	 */
@@ -44,8 +56,15 @@
 	): Promise<LeaderResult<Method>>;
 }
 
+/** Fields that a repeated call adds to its parameters when an earlier one got no answer. */
+const uncertainFields: { readonly [Method in LeaderMethod]?: Partial<PeerMethods[Method]['parameters']> } = {
+	'job.submit': { mayBeStored: true },
+};
+
 type LocalHandler<Result> = (parameters: unknown, session: PeerSession) => Result | Promise<Result>;
 
+const localSession: PeerSession = { peerName: undefined, peer: undefined };
+
 const noLeader: NotLeader = { type: 'not-leading', leader: undefined };
 
 /** Options of {@link createLeaderClient}. */
@@ -72,33 +91,54 @@
 		}
 	};
 
+	const callOnce = async <Method extends LeaderMethod>(
+		method: Method,
+		parameters: PeerMethods[Method]['parameters'],
+		attemptMs: number,
+	): Promise<PeerMethods[Method]['result']> => {
+		if (election.isLeading) {
+			return await (handlers()[method] as LocalHandler<PeerMethods[Method]['result']>)(parameters, localSession);
+		}
+		return (await election.leaderConnection()?.call(method, parameters, attemptMs)) ?? noLeader;
+	};
+
 	return {
 		call: async (method, parameters, deadline, signal) => {
 			type Result = PeerMethods[typeof method]['result'];
-			let wasCallSent = false;
+			/** Whether a leader may have executed the call, or an earlier call of the same submission. */
+			let mayBeExecuted = false;
+			const outcomeUnknown = (reason: string): Error => kindError('peer-unreachable', `${method}: ${reason}`);
 			const leaderBy = clock.now() + leaderlessWaitMs[method];
-			while (!signal.aborted && clock.now() < (wasCallSent ? deadline : Math.min(deadline, leaderBy))) {
+			while (!signal.aborted && clock.now() < (mayBeExecuted ? deadline : Math.min(deadline, leaderBy))) {
 				const attemptMs = Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, deadline - clock.now()));
-				const connection = election.leaderConnection();
+				let result: Result;
 				try {
-					const result: Result = election.isLeading
-						? await (handlers()[method] as LocalHandler<Result>)(parameters, { peerName: undefined, peer: undefined })
-						: ((await connection?.call(method, parameters, attemptMs)) ?? noLeader);
-					if (result.type === 'not-leading') {
-						await delay(RETRY_DELAY_MS, signal);
-					} else if (result.type === 'plan-behind') {
+					result = await callOnce(method, { ...parameters, ...(mayBeExecuted && uncertainFields[method]) }, attemptMs);
+					if (result.type === 'plan-behind') {
 						await offerPlan(attemptMs);
-					} else {
-						return result as LeaderResult<typeof method>;
+						continue;
 					}
 				} catch {
-					wasCallSent = true;
+					mayBeExecuted = true;
 					counters.add('leader_calls_failed_total', { method });
 					await delay(RETRY_DELAY_MS, signal);
+					continue;
+				}
+				if (result.type !== 'not-leading') {
+					return result as LeaderResult<typeof method>;
+				}
+				mayBeExecuted ||= result.mayBeStored === true;
+				const whileBlocked = resultsWhileBlocked[method];
+				if (whileBlocked !== undefined && (result.takeoverBlockedMs ?? 0) >= JOURNAL_STALL_MS) {
+					if (mayBeExecuted) {
+						throw outcomeUnknown('the leader cannot read the journal, which may contain the job');
+					}
+					return whileBlocked;
 				}
+				await delay(RETRY_DELAY_MS, signal);
 			}
-			throw wasCallSent
-				? kindError('peer-unreachable', `${method}: the leader was called but did not answer in time`)
+			throw mayBeExecuted
+				? outcomeUnknown('the leader was called but did not answer in time')
 				: kindError('no-leader', `${method}: there is no leader`);
 		},
 	};
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { FollowerStatus, NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
-import { refuseWhileBlocked, submitOnLeader } from './jobSubmission.js';
+import { submitOnLeader } from './jobSubmission.js';
 import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
+import { createUncertainSubmissions } from '../../common/uncertainSubmissions.js';
 import { decodeBytes, encodeNewestOutcome, encodeReadOutcome } from '../../common/relayCodec.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
@@ -43,6 +44,7 @@
 	const { log, workerFeed, workerCalls, workerRelay, signal } = options;
 	const currentTerm = (): Promise<LeaderTerm | undefined> => whenTermBegun(TAKEOVER_WAIT_MS);
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
+	const uncertainSubmissions = createUncertainSubmissions();
 
 	return {
 		'peer.hello': async ({ entryHost }, session) => {
@@ -67,8 +69,16 @@
 			if (term !== undefined) {
 				return submitOnLeader(term, submission, now);
 			}
+			// Until the journal is read, nobody knows whether a job that an earlier leader was sent is in it.
+			if (submission.mayBeStored === true) {
+				uncertainSubmissions.add(submission.id, now);
+			}
 			const since = blockedSince();
-			return (since === undefined ? undefined : refuseWhileBlocked(now - since)) ?? notLeading();
+			return {
+				...notLeading(),
+				takeoverBlockedMs: since === undefined ? undefined : now - since,
+				mayBeStored: uncertainSubmissions.has(submission.id, now),
+			};
 		},
 		'job.cancel': async ({ id, team }) => {
 			const term = await currentTerm();
