Keep runs whose ends may wait behind a list that is cut off

Cause: a worker lists 500 ends at a time. While the store is down none is acknowledged, so that later ends wait behind the list. A run listed neither as running nor as ended counted as lost, and its task was started again.

Listings now say whether further ends may wait; the limit stands where the platform's answers are decoded. While ends may wait, no run is absent and no start of a former incarnation is prevented. Relayed lists carry the mark; one without it is complete only if it is empty.

Ruled out: ends that are acknowledged before they are stored, and lists that overtake each other (see the postmortem).

--- a/packages/coordinator/src/common/workerCalls.ts
+++ b/packages/coordinator/src/common/workerCalls.ts
@@ -35,6 +35,8 @@
 	readonly clockMs: number;
 	readonly running: readonly RunRow[];
 	readonly ended: readonly EndRow[];
+	/** Daemons of earlier versions do not send it. */
+	readonly mayHaveMoreEnds?: boolean | undefined;
 }
 
 /** An outcome on the wire. */
@@ -51,7 +53,7 @@
 	if (outcome.type !== 'listed') {
 		return outcome;
 	}
-	const { incarnation, clockMs, running, ended } = outcome.listing;
+	const { incarnation, clockMs, running, ended, mayHaveMoreEnds } = outcome.listing;
 	return {
 		type: 'listed',
 		listing: {
@@ -65,12 +67,13 @@
 				load ?? null,
 			]),
 			ended: ended.map(({ index, task, run, end, checkpoint }) => [index, task, run, end, checkpoint]),
+			mayHaveMoreEnds,
 		},
 	};
 }
 
 function decodeListing(listing: unknown): WorkerListing | undefined {
-	const { incarnation, clockMs, running, ended } = (listing ?? {}) as Partial<EncodedListing>;
+	const { incarnation, clockMs, running, ended, mayHaveMoreEnds } = (listing ?? {}) as Partial<EncodedListing>;
 	if (
 		typeof incarnation !== 'number' ||
 		typeof clockMs !== 'number' ||
@@ -98,6 +101,7 @@
 			end,
 			checkpoint,
 		})),
+		mayHaveMoreEnds: mayHaveMoreEnds ?? ended.length > 0,
 	};
 }
 
--- a/packages/coordinator/src/test/workerPoller.test.ts
+++ b/packages/coordinator/src/test/workerPoller.test.ts
@@ -22,7 +22,7 @@
 async function countPolls(timerLagMs: number): Promise<number> {
 	const end = new AbortController();
 	let polls = 0;
-	const listing = { incarnation: 1, clockMs: 1, running: [], ended: [] };
+	const listing = { incarnation: 1, clockMs: 1, running: [], ended: [], mayHaveMoreEnds: false };
 	const poller = createWorkerPoller(
 		{
 			engine: {
--- a/packages/coordinator/src/test/workerRelay.test.ts
+++ b/packages/coordinator/src/test/workerRelay.test.ts
@@ -21,6 +21,7 @@
 	clockMs: 1_000,
 	running: [{ task: 'a.0.0.0', run: 1, checkpoint: 'c', percent: 40, load: undefined }],
 	ended: [{ index: 3, task: 'a.0.0.1', run: 2, end: 'done', checkpoint: '' }],
+	mayHaveMoreEnds: false,
 };
 const request: PollRequest = { fencingToken: 1, acknowledged: 0, leaseUntilMs: 5_000, waitMs: 300 };
 const order: StartOrder = {
--- a/packages/engine/src/common/workers/reconcile.ts
+++ b/packages/engine/src/common/workers/reconcile.ts
@@ -21,7 +21,8 @@
 
 /**
  * Compares a worker's listing with the leader's view. The listing must be the newest one of the same incarnation. A run
- * that is listed neither as running nor as ended is over or never began, unless its start may still be in flight.
+ * that is listed neither as running nor as ended is over or never began, unless its start may still be in flight or its end
+ * may wait behind those listed.
  */
 export function reconcile(state: WorkerState, listing: WorkerListing): Reconciliation {
 	const newEnds = listing.ended.filter(end => end.index > state.lastReadEndIndex);
@@ -33,7 +34,7 @@
 		const listed = runningByKey.get(key);
 		if (listed !== undefined) {
 			confirmed.push({ run, listed });
-		} else if (!endedKeys.has(key) && isAbsenceConclusive(run, listing.clockMs)) {
+		} else if (!listing.mayHaveMoreEnds && !endedKeys.has(key) && isAbsenceConclusive(run, listing.clockMs)) {
 			absent.push(run);
 		}
 	}
@@ -41,6 +42,7 @@
 	const preventedStarts = [...state.blockedStarts]
 		.filter(
 			([key, { stoppedClockMs }]) =>
+				!listing.mayHaveMoreEnds &&
 				!runningByKey.has(key) &&
 				stoppedClockMs !== undefined &&
 				listing.clockMs > stoppedClockMs + CLOCK_READING_TOLERANCE_MS,
--- a/packages/engine/src/test/engineHarness.ts
+++ b/packages/engine/src/test/engineHarness.ts
@@ -118,6 +118,8 @@
 	readonly journal?: readonly JournalEvent[];
 	/** Time at which the term begins, in milliseconds; 1,000 unless given. */
 	readonly now?: number;
+	/** Number of ends that workers list at a time; unlimited unless given. */
+	readonly listedEndsLimit?: number;
 	/** Receives the decision lines of the engine. */
 	readonly logDecision?: DecisionLogger;
 	/** Receives the counters of the engine. */
@@ -174,17 +176,26 @@
 	};
 
 	const pollWorker = (worker: HarnessWorker): void => {
-		engine.monitor.pollRequest(workerKeyOf(worker), 0, true, now);
+		const request = engine.monitor.pollRequest(workerKeyOf(worker), 0, true, now);
 		if (silentWorkers.has(worker)) {
 			engine.monitor.pollAnswered(workerKeyOf(worker), { type: 'silent', reason: 'no answer' }, now);
 			flush();
 			return;
 		}
+		const listedEnds = worker.ended
+			.filter(({ index }) => index > (request?.acknowledged ?? 0))
+			.slice(0, options.listedEndsLimit);
 		engine.monitor.pollAnswered(
 			workerKeyOf(worker),
 			{
 				type: 'listed',
-				listing: { incarnation: 1, clockMs: now, running: [...worker.running.values()], ended: [...worker.ended] },
+				listing: {
+					incarnation: 1,
+					clockMs: now,
+					running: [...worker.running.values()],
+					ended: listedEnds,
+					mayHaveMoreEnds: listedEnds.length >= (options.listedEndsLimit ?? Infinity),
+				},
 			},
 			now,
 		);
--- a/packages/engine/src/test/fleetModel.test.ts
+++ b/packages/engine/src/test/fleetModel.test.ts
@@ -68,13 +68,27 @@
 	return isPoisoned(`${task} crashes`, share);
 }
 
-function createModel(seed: number, faults: ModelFaults, poisonedShare = 0.05, crashingShare = 0): FleetModel {
+interface ModelVariation {
+	/** Share of the tasks whose runs all fail. */
+	readonly poisonedShare?: number;
+	/** Share of the tasks that crash each worker that starts them. */
+	readonly crashingShare?: number;
+	/** Number of ends that a worker lists at a time; unlimited unless given. */
+	readonly listedEndsLimit?: number;
+}
+
+function createModel(
+	seed: number,
+	faults: ModelFaults,
+	{ poisonedShare = 0.05, crashingShare = 0, listedEndsLimit = Infinity }: ModelVariation = {},
+): FleetModel {
 	const random = createSeededRandom(seed);
 	return createFleetModel({
 		random,
 		plan,
 		resources,
 		faults,
+		listedEndsLimit,
 		workers: Array.from({ length: 6 }, (_, index) => ({
 			name: `w${index}`,
 			pool: 'desk',
@@ -103,10 +117,10 @@
 	seed: number,
 	incidents: readonly { readonly type: Incident; readonly at: number }[],
 	faults: ModelFaults,
-	crashingShare = 0,
+	variation?: ModelVariation,
 ): FleetModel {
 	const random = createSeededRandom(seed + 1);
-	const model = createModel(seed, faults, undefined, crashingShare);
+	const model = createModel(seed, faults, variation);
 	const pending = [...incidents].sort((left, right) => left.at - right.at);
 	const delayed: { readonly at: number; readonly run: () => void }[] = [];
 	let submittedJobs = 0;
@@ -197,7 +211,7 @@
 
 describe('a fleet under the engine', () => {
 	it('runs each task of a job once, in the order of the steps', () => {
-		const model = createModel(1, noFaults, 0);
+		const model = createModel(1, noFaults, { poisonedShare: 0 });
 		model.submit(
 			'b0',
 			jobOf([stepOf({ count: 4 }), stepOf({ count: 3, after: [0] }), stepOf({ count: 1, after: [1] })]),
@@ -209,7 +223,7 @@
 	});
 
 	it('fails a job when a task has used all attempts that the queue allows', () => {
-		const model = createModel(2, noFaults, 1);
+		const model = createModel(2, noFaults, { poisonedShare: 1 });
 		model.submit('b0', jobOf([stepOf({ count: 1 })]));
 		model.advance(8_000);
 		expect(model.checker.violations).toEqual([]);
@@ -218,7 +232,7 @@
 	});
 
 	it('restarts service tasks after their worker has crashed', () => {
-		const model = createModel(3, noFaults, 0);
+		const model = createModel(3, noFaults, { poisonedShare: 0 });
 		model.submit('b0', jobOf([stepOf({ isLasting: true, count: 3 })]));
 		model.advance(2_000);
 		const worker = model.workers.find(({ runs }) => runs.size > 0);
@@ -229,7 +243,7 @@
 	});
 
 	it('completes every job after a change of leader, without duplicate starts', () => {
-		const model = createModel(4, noFaults, 0);
+		const model = createModel(4, noFaults, { poisonedShare: 0 });
 		for (let job = 0; job < 10; job++) {
 			model.submit(`b${job}`, jobOf([stepOf({ count: 3 }), stepOf({ count: 2, after: [0] })]));
 		}
@@ -263,7 +277,7 @@
 	});
 
 	it('does not fail a job for a start that reached its worker after a crash', () => {
-		expect(runHistory(829_942, [], noFaults, 0.1).checker.violations).toEqual([]);
+		expect(runHistory(829_942, [], noFaults, { crashingShare: 0.1 }).checker.violations).toEqual([]);
 	});
 
 	it('does not fail a job whose worker has crashed once for another reason', () => {
@@ -298,6 +312,27 @@
 		);
 	});
 
+	const cutOffHistories = Math.ceil(histories / 2);
+	it(
+		`starts no ended task again in ${cutOffHistories} histories with workers that list few ends at a time`,
+		{ timeout: 3_600_000 },
+		() => {
+			const incident = fc.record({ type: fc.constantFrom(...incidentTypes), at: fc.integer({ min: 0, max: 10_000 }) });
+			fc.assert(
+				fc.property(
+					fc.integer({ min: 0, max: 1_000_000 }),
+					fc.array(incident, { maxLength: 6 }),
+					fc.constantFrom<ModelFaults>(noFaults, { answerLossRate: 0.05, delayedExecutionRate: 0 }),
+					fc.constantFrom(1, 3),
+					(seed, incidents, faults, listedEndsLimit) => {
+						expect(runHistory(seed, incidents, faults, { listedEndsLimit }).checker.violations).toEqual([]);
+					},
+				),
+				{ numRuns: cutOffHistories, seed: Number(process.env.FLEET_SEED ?? 20_261_204) },
+			);
+		},
+	);
+
 	const crashHistories = Math.ceil(histories / 2);
 	it(
 		`limits the crashes by one task in ${crashHistories} histories with random incidents`,
@@ -314,7 +349,7 @@
 					fc.constantFrom<ModelFaults>(noFaults, { answerLossRate: 0.05, delayedExecutionRate: 0 }),
 					fc.constantFrom(0.02, 0.1),
 					(seed, incidents, faults, crashingShare) => {
-						expect(runHistory(seed, incidents, faults, crashingShare).checker.violations).toEqual([]);
+						expect(runHistory(seed, incidents, faults, { crashingShare }).checker.violations).toEqual([]);
 					},
 				),
 				{ numRuns: crashHistories, seed: Number(process.env.FLEET_SEED ?? 20_261_204) },
--- a/packages/engine/src/test/fleetModel.ts
+++ b/packages/engine/src/test/fleetModel.ts
@@ -73,6 +73,7 @@
 			clockRate: 0.98 + random.next() * 0.02,
 			behaviourOf,
 			observer: checker,
+			listedEndsLimit: options.listedEndsLimit,
 			onCrash: worker => {
 				schedule(CRASH_DURATION_MS, () => {
 					worker.restart(now);
--- a/packages/engine/src/test/fleetModelOptions.ts
+++ b/packages/engine/src/test/fleetModelOptions.ts
@@ -11,5 +11,7 @@
 	readonly workers: readonly { readonly name: string; readonly pool: string; readonly rack: string }[];
 	readonly resources: { readonly milliCores: number; readonly memoryMb: number; readonly accelerators: number };
 	readonly faults: ModelFaults;
+	/** Number of ends that a worker lists at a time; unlimited unless given. */
+	readonly listedEndsLimit?: number;
 	readonly behaviourOf: (task: string, spec: JobSpec) => TaskBehaviour;
 }
--- a/packages/engine/src/test/modelWorker.ts
+++ b/packages/engine/src/test/modelWorker.ts
@@ -79,13 +79,15 @@
 	readonly clockRate: number;
 	readonly behaviourOf: (task: string) => TaskBehaviour;
 	readonly observer: WorkerObserver;
+	/** Number of ends that the worker lists at a time; unlimited unless given. */
+	readonly listedEndsLimit?: number | undefined;
 	/** Called when a task has crashed the worker. */
 	readonly onCrash?: (worker: ModelWorker) => void;
 }
 
 /** Creates a worker that is up and has no runs. */
 export function createModelWorker(options: ModelWorkerOptions): ModelWorker {
-	const { name, pool, rack, resources, clockRate, behaviourOf, observer } = options;
+	const { name, pool, rack, resources, clockRate, behaviourOf, observer, listedEndsLimit = Infinity } = options;
 	let incarnation = 1;
 	let incarnationBeganAt = 0;
 	let highestFence = 0;
@@ -159,7 +161,8 @@
 						percent: behaviour.isService && now - startedAt < SERVICE_START_UP_MS ? 40 : 100,
 						load: undefined,
 					})),
-					ended: [...unacknowledgedEnds],
+					ended: unacknowledgedEnds.slice(0, listedEndsLimit),
+					mayHaveMoreEnds: unacknowledgedEnds.length >= listedEndsLimit,
 				},
 			};
 		},
--- a/packages/engine/src/test/oddEntries.test.ts
+++ b/packages/engine/src/test/oddEntries.test.ts
@@ -158,7 +158,7 @@
 
 describe('an answer that names an earlier start than the one that the worker has confirmed', () => {
 	const answer = (harness: EngineHarness): void => {
-		const listing = { incarnation: 0, clockMs: 5, running: [], ended: [] };
+		const listing = { incarnation: 0, clockMs: 5, running: [], ended: [], mayHaveMoreEnds: false };
 		harness.engine.monitor.pollAnswered('w0@1', { type: 'listed', listing }, harness.now);
 	};
 
@@ -197,7 +197,7 @@
 			undefined,
 			harness.now,
 		);
-		const listing = { incarnation: 5_000, clockMs: 100, running: [], ended: [] };
+		const listing = { incarnation: 5_000, clockMs: 100, running: [], ended: [], mayHaveMoreEnds: false };
 		harness.engine.monitor.pollRequest('w0@5000', 0, true, harness.now);
 		harness.engine.monitor.pollAnswered('w0@5000', { type: 'listed', listing }, harness.now);
 		harness.addWorker('w0', 'desk', { address: '10.0.0.1:7' });
--- a/packages/ports/src/common/workerService.ts
+++ b/packages/ports/src/common/workerService.ts
@@ -68,7 +68,10 @@
 	/** Monotonic clock of the worker at the time of the response, in milliseconds. */
 	readonly clockMs: number;
 	readonly running: readonly ListedRun[];
+	/** Ends that are not acknowledged, from the lowest index on. */
 	readonly ended: readonly ListedEnd[];
+	/** Whether further ends may wait behind those listed, since a worker lists a limited number at a time. */
+	readonly mayHaveMoreEnds: boolean;
 }
 
 /** The target of a call: the expected worker and its address. */
