Log what becomes of orders to stop runs

Runs of cancelled jobs went on after trouble on the users' machines, and their logs do not tell whether stops were sent, refused or given up. New lines: stop-answered, stop-unanswered (first attempt), stop-refused and stop-dropped with its reason; counter stops_total by outcome.

--- a/packages/coordinator/src/node/leader/workerOrders.ts
+++ b/packages/coordinator/src/node/leader/workerOrders.ts
@@ -2,7 +2,7 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { Engine } from '@chestnutwheel/engine/common/engine.js';
-import type { EngineEffect } from '@chestnutwheel/engine/common/engineMessages.js';
+import type { DecisionLogger, EngineEffect } from '@chestnutwheel/engine/common/engineMessages.js';
 import type {
 	StartOutcome,
 	StartOrder,
@@ -29,6 +29,7 @@
 	readonly workers: WorkerService;
 	readonly clock: Clock;
 	readonly counters: Counters;
+	readonly logDecision: DecisionLogger;
 	readonly flush: () => void;
 	/** Returns whether the term was confirmed recently enough to send orders. */
 	readonly isTermConfirmed: () => boolean;
@@ -45,7 +46,7 @@
 
 /** Creates the order sender of one term. Pending orders are abandoned when the signal is aborted. */
 export function createWorkerOrders(options: WorkerOrdersOptions, signal: AbortSignal): WorkerOrders {
-	const { engine, workers, clock, flush } = options;
+	const { engine, workers, clock, counters, logDecision, flush } = options;
 	const addresses = new Map<string, WorkerAddress>();
 
 	const sendStart = async (effect: StartEffect): Promise<void> => {
@@ -78,22 +79,45 @@
 		}
 	};
 
-	const sendStop = async ({ workerKey, task, run }: StopEffect): Promise<void> => {
+	const logStop = (
+		outcome: 'answered' | 'refused' | 'unanswered' | 'dropped',
+		{ workerKey, task, run }: StopEffect,
+		fields: Readonly<Record<string, unknown>>,
+	): void => {
+		counters.add('stops_total', { outcome });
+		logDecision(`stop-${outcome}`, { task, run, worker: workerKey, ...fields });
+	};
+
+	const sendStop = async (effect: StopEffect): Promise<void> => {
+		const { workerKey, task, run } = effect;
 		const address = addresses.get(workerKey);
 		const fence = engine.term;
 		if (address === undefined || fence === undefined) {
+			logStop('dropped', effect, { reason: 'the address of the worker is not known' });
 			return;
 		}
+		const orderedAt = clock.now();
 		for (let attempt = 0; attempt < MAXIMUM_STOP_ATTEMPTS && !signal.aborted; attempt++) {
 			const answer = await workers.stop(address, { task, run }, fence, signal);
 			engine.monitor.stopAnswered(workerKey, task, run, answer, clock.now());
 			flush();
+			const tookMs = Math.round(clock.now() - orderedAt);
+			if (answer.type === 'done') {
+				logStop('answered', effect, { attempts: attempt + 1, tookMs });
+				return;
+			}
 			if (answer.type !== 'silent') {
+				const reason = answer.type === 'refused' ? answer.reason : 'another worker has the address';
+				logStop('refused', effect, { attempts: attempt + 1, tookMs, reason });
 				return;
 			}
+			if (attempt === 0) {
+				logStop('unanswered', effect, { reason: answer.reason });
+			}
 			await delay(STOP_RETRY_DELAY_MS * 2 ** attempt, signal);
 			await untilRepeatable(workerKey, task, run);
 		}
+		logStop('dropped', effect, { reason: signal.aborted ? 'the term has ended' : 'too many attempts' });
 	};
 
 	const sendPace = async ({ workerKey, task, run, percent }: PaceEffect): Promise<void> => {
--- a/packages/coordinator/src/test/workerOrders.test.ts
+++ b/packages/coordinator/src/test/workerOrders.test.ts
@@ -39,6 +39,7 @@
 				} as Partial<WorkerService> as WorkerService,
 				clock: { now: () => 0, wallNow: () => 0 },
 				counters: createCounters(),
+				logDecision: () => undefined,
 				flush: () => undefined,
 				isTermConfirmed: () => true,
 			},
