Repeat stops as long as the worker lists the run

Runs of cancelled jobs went on after trouble (UNASKED, the users' own runs).

Cause: a lost stop left its run in the phase `stopping`, in which no stop was ordered again, while polls extended its lease. A new leader orders the stops of ended jobs before it has read the addresses of the workers, and dropped them (stop-dropped, 27 ms into the term); attempts that got no answer came after pauses of up to 12.8 s and ended with the eighth.

The engine now knows whether a stop of a run is being sent, and orders another one when none is and the worker lists the run. The sender gives up after four attempts and says so. Stops that block a late start in a restarted worker were lost in the same way, and are repeated until they are answered. A pace without an address is answered.

--- a/packages/coordinator/src/node/leader/workerOrders.ts
+++ b/packages/coordinator/src/node/leader/workerOrders.ts
@@ -7,6 +7,7 @@
 	StartOutcome,
 	StartOrder,
 	WorkerAddress,
+	WorkerOrderOutcome,
 	WorkerService,
 } from '@chestnutwheel/ports/common/workerService.js';
 
@@ -14,8 +15,8 @@
 type StopEffect = Extract<EngineEffect, { type: 'stop' }>;
 type PaceEffect = Extract<EngineEffect, { type: 'pace' }>;
 
-/** Maximum number of attempts to send one stop. The next listing of the worker shows whether another stop is needed. */
-const MAXIMUM_STOP_ATTEMPTS = 8;
+/** Maximum number of attempts to send one stop. The engine orders another one when the worker lists the run again. */
+const MAXIMUM_STOP_ATTEMPTS = 4;
 
 /** Initial back-off before an unanswered stop is retried; it doubles with each attempt. */
 const STOP_RETRY_DELAY_MS = 100;
@@ -44,10 +45,16 @@
 	pace(effect: PaceEffect): void;
 }
 
+function stopKey({ workerKey, task, run }: StopEffect): string {
+	return `${workerKey} ${task} ${run}`;
+}
+
 /** Creates the order sender of one term. Pending orders are abandoned when the signal is aborted. */
 export function createWorkerOrders(options: WorkerOrdersOptions, signal: AbortSignal): WorkerOrders {
 	const { engine, workers, clock, counters, logDecision, flush } = options;
 	const addresses = new Map<string, WorkerAddress>();
+	/** Runs for which a stop is being sent, by {@link stopKey}. */
+	const stopsUnderWay = new Set<string>();
 
 	const sendStart = async (effect: StartEffect): Promise<void> => {
 		const { workerKey, task, run } = effect;
@@ -88,46 +95,72 @@
 		logDecision(`stop-${outcome}`, { task, run, worker: workerKey, ...fields });
 	};
 
-	const sendStop = async (effect: StopEffect): Promise<void> => {
-		const { workerKey, task, run } = effect;
+	/** Sends a stop until it is answered. Returns `undefined` when it is answered, or else why no further attempt is made. */
+	const attemptStop = async (effect: StopEffect): Promise<string | undefined> => {
+		const { workerKey, task, run, isRepeat } = effect;
 		const address = addresses.get(workerKey);
 		const fence = engine.term;
 		if (address === undefined || fence === undefined) {
-			logStop('dropped', effect, { reason: 'the address of the worker is not known' });
-			return;
+			return 'the address of the worker is not known';
 		}
 		const orderedAt = clock.now();
-		for (let attempt = 0; attempt < MAXIMUM_STOP_ATTEMPTS && !signal.aborted; attempt++) {
+		if (isRepeat) {
+			await untilRepeatable(workerKey, task, run);
+		}
+		for (let attempt = 1; attempt <= MAXIMUM_STOP_ATTEMPTS && !signal.aborted; attempt++) {
 			const answer = await workers.stop(address, { task, run }, fence, signal);
+			const fields = { attempts: attempt, tookMs: Math.round(clock.now() - orderedAt) };
+			if (answer.type !== 'silent') {
+				stopsUnderWay.delete(stopKey(effect));
+			}
 			engine.monitor.stopAnswered(workerKey, task, run, answer, clock.now());
 			flush();
-			const tookMs = Math.round(clock.now() - orderedAt);
 			if (answer.type === 'done') {
-				logStop('answered', effect, { attempts: attempt + 1, tookMs });
-				return;
+				logStop('answered', effect, fields);
+				return undefined;
 			}
 			if (answer.type !== 'silent') {
 				const reason = answer.type === 'refused' ? answer.reason : 'another worker has the address';
-				logStop('refused', effect, { attempts: attempt + 1, tookMs, reason });
-				return;
+				logStop('refused', effect, { ...fields, reason });
+				return undefined;
 			}
-			if (attempt === 0) {
+			if (attempt === 1) {
 				logStop('unanswered', effect, { reason: answer.reason });
 			}
-			await delay(STOP_RETRY_DELAY_MS * 2 ** attempt, signal);
-			await untilRepeatable(workerKey, task, run);
+			if (attempt < MAXIMUM_STOP_ATTEMPTS) {
+				await delay(STOP_RETRY_DELAY_MS * 2 ** (attempt - 1), signal);
+				await untilRepeatable(workerKey, task, run);
+			}
+		}
+		return signal.aborted ? 'the term has ended' : 'too many attempts';
+	};
+
+	const sendStop = async (effect: StopEffect): Promise<void> => {
+		const key = stopKey(effect);
+		if (stopsUnderWay.has(key)) {
+			return;
+		}
+		stopsUnderWay.add(key);
+		const reason = await attemptStop(effect);
+		if (reason === undefined) {
+			return;
+		}
+		stopsUnderWay.delete(key);
+		logStop('dropped', effect, { reason });
+		if (!signal.aborted) {
+			engine.monitor.stopAbandoned(effect.workerKey, effect.task, effect.run);
 		}
-		logStop('dropped', effect, { reason: signal.aborted ? 'the term has ended' : 'too many attempts' });
 	};
 
 	const sendPace = async ({ workerKey, task, run, percent }: PaceEffect): Promise<void> => {
 		const address = addresses.get(workerKey);
 		const fence = engine.term;
-		if (address !== undefined && fence !== undefined) {
-			const answer = await workers.pace(address, { task, run }, percent, fence, signal);
-			options.counters.add('paces_total', { outcome: answer.type });
-			engine.monitor.paceAnswered(workerKey, task, run, percent, answer);
-		}
+		const answer: WorkerOrderOutcome =
+			address === undefined || fence === undefined
+				? { type: 'silent', reason: 'the address of the worker is not known' }
+				: await workers.pace(address, { task, run }, percent, fence, signal);
+		counters.add('paces_total', { outcome: answer.type });
+		engine.monitor.paceAnswered(workerKey, task, run, percent, answer);
 	};
 
 	return {
--- a/packages/engine/src/common/engineMessages.ts
+++ b/packages/engine/src/common/engineMessages.ts
@@ -40,7 +40,14 @@
 			readonly checkpoint: string;
 			readonly ticket: string | undefined;
 	  }
-	| { readonly type: 'stop'; readonly workerKey: string; readonly task: string; readonly run: number }
+	| {
+			readonly type: 'stop';
+			readonly workerKey: string;
+			readonly task: string;
+			readonly run: number;
+			/** Whether an earlier order may have reached the worker, so that this one is sent only if the run may still be stopped. */
+			readonly isRepeat: boolean;
+	  }
 	| {
 			readonly type: 'pace';
 			readonly workerKey: string;
--- a/packages/engine/src/common/jobs/job.ts
+++ b/packages/engine/src/common/jobs/job.ts
@@ -45,6 +45,10 @@
 	/** Whether the worker has still listed the run as running some time after that answer. */
 	isEstablished: boolean;
 	stopReason: StopReason | undefined;
+	/** Whether an order that stops the run awaits its answer. */
+	isStopOrderPending: boolean;
+	/** Time on the worker's clock at which it answered a stop; `undefined` until then. */
+	stoppedClockMs: number | undefined;
 	/** Checkpoint from which the run was started; empty if none. */
 	readonly startCheckpoint: string;
 	/** Share of its full speed at which the run works, 0 to 100, as listed by the worker. */
@@ -164,6 +168,39 @@
 	return Math.max(1, spec.repeats);
 }
 
+/** Creates a run of which nothing is known but that it was decided on. @param now monotonic time in milliseconds */
+export function createTaskRun(
+	task: Task,
+	run: number,
+	workerKey: string,
+	isSpeculative: boolean,
+	now: number,
+): TaskRun {
+	return {
+		task,
+		run,
+		workerKey,
+		isSpeculative,
+		phase: 'unsure',
+		decidedAt: now,
+		startByMs: 0,
+		confirmedClockMs: undefined,
+		confirmedAt: undefined,
+		firstClockMs: undefined,
+		isEstablished: false,
+		stopReason: undefined,
+		isStopOrderPending: false,
+		stoppedClockMs: undefined,
+		startCheckpoint: task.checkpoint,
+		percent: 0,
+		load: undefined,
+		pace: undefined,
+		isPaceOrderPending: false,
+		crash: undefined,
+		progress: undefined,
+	};
+}
+
 /** Creates an occurrence whose tasks all wait. */
 export function createOccurrence(job: Job, number: number): Occurrence {
 	const { spec } = job;
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -2,6 +2,7 @@
 import {
 	createJob,
 	createOccurrence,
+	createTaskRun,
 	occurrenceCount,
 	type Job,
 	type Occurrence,
@@ -164,27 +165,7 @@
 		if (!isSpeculative) {
 			[...task.runs].forEach(superseded => removeRun(superseded, now));
 		}
-		const added: TaskRun = {
-			task,
-			run,
-			workerKey: workerKey(worker, incarnation),
-			isSpeculative,
-			phase: 'unsure',
-			decidedAt: now,
-			startByMs: 0,
-			confirmedClockMs: undefined,
-			confirmedAt: undefined,
-			firstClockMs: undefined,
-			isEstablished: false,
-			stopReason: undefined,
-			startCheckpoint: task.checkpoint,
-			percent: 0,
-			load: undefined,
-			pace: undefined,
-			isPaceOrderPending: false,
-			crash: undefined,
-			progress: undefined,
-		};
+		const added = createTaskRun(task, run, workerKey(worker, incarnation), isSpeculative, now);
 		task.runs.push(added);
 		task.step.occurrence.job.activeRuns++;
 		if (task.state === 'waiting') {
--- a/packages/engine/src/common/jobs/runTerminator.ts
+++ b/packages/engine/src/common/jobs/runTerminator.ts
@@ -45,8 +45,15 @@
 		}
 		run.phase = 'stopping';
 		run.stopReason = reason;
+		run.isStopOrderPending = true;
 		counters.add('runs_stopped_total', { reason });
-		const effect = { type: 'stop', workerKey: run.workerKey, task: run.task.name, run: run.run } as const;
+		const effect = {
+			type: 'stop',
+			workerKey: run.workerKey,
+			task: run.task.name,
+			run: run.run,
+			isRepeat: false,
+		} as const;
 		// Whether a run may leave its host depends on the other runs of its step now; they may be lost while the journal stalls.
 		if (reason === 'host-leaves') {
 			context.emitNow(effect);
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -98,7 +98,7 @@
 		next.blockedStarts.set(key, { task, runNumber, run, expiresAt, stoppedClockMs: undefined });
 		// The resources stay reserved until a listing shows that the run did not start.
 		workers.addOrphanedRun(next, key, context.jobs.task(task)?.step.spec.demand ?? noResources);
-		context.emitNow({ type: 'stop', workerKey: next.key, task, run: runNumber });
+		context.emitNow({ type: 'stop', workerKey: next.key, task, run: runNumber, isRepeat: false });
 	};
 
 	/** Blocks unanswered starts in the next incarnation, since any later incarnation may still execute them. */
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -16,6 +16,7 @@
 import { createPacing } from './pacing.js';
 import { reconcile } from './reconcile.js';
 import { createStallDetector } from './stallDetector.js';
+import { createStopOrders } from './stopOrders.js';
 import { createWorkerIncarnations, LEASE_MARGIN_MS, type IncarnationEnd } from './workerIncarnations.js';
 import { createWorkerStarts, type WorkerStarts } from './workerStarts.js';
 import { runKey, type WorkerState } from './workerState.js';
@@ -34,10 +35,12 @@
 	 * @returns the request, or `undefined` if the incarnation is not monitored any more
 	 */
 	pollRequest(key: string, waitMs: number, isSureToLead: boolean, now: number): PollRequest | undefined;
-	/** Whether the incarnation runs tasks that end by themselves. */
+	/** Whether the incarnation runs tasks that end by themselves, or have been ordered to stop. */
 	hasFiniteRuns(key: string): boolean;
 	pollAnswered(key: string, answer: PollOutcome, now: number): void;
 	stopAnswered(key: string, task: string, run: number, answer: WorkerOrderOutcome, now: number): void;
+	/** Records that no further attempt to send a stop will be made. It is ordered again if the run is still listed. */
+	stopAbandoned(key: string, task: string, run: number): void;
 	paceAnswered(key: string, task: string, run: number, percent: number, answer: WorkerOrderOutcome): void;
 	/** Ends an incarnation whose runs were terminated by an order to its host. */
 	endIncarnation(state: WorkerState, reason: IncarnationEnd, now: number): void;
@@ -57,6 +60,7 @@
 	const stallDetector = createStallDetector(context, endRuns);
 	const pacing = createPacing(context);
 	const listedEnds = createListedEnds(context, endRuns);
+	const stopOrders = createStopOrders(context);
 
 	/** Time when the leases extended by previous leaders have expired on a worker not reached in this term. */
 	const predecessorRunsEndBy = (): number => {
@@ -100,9 +104,10 @@
 			task.checkpoint = listed.checkpoint;
 		}
 		const { state: jobState } = task.step.occurrence.job;
-		if (isFirst && (jobState !== 'open' || task.state === 'done')) {
+		if (jobState !== 'open' || (isFirst && task.state === 'done')) {
 			endRuns.stop(run, jobState === 'cancelled' ? 'cancelled' : 'copy-ended');
 		}
+		stopOrders.handleRunning(state, run, clockMs);
 		stallDetector.checkRun(state, run, listed, clockMs, now);
 	};
 
@@ -137,8 +142,9 @@
 				note('stray-run', { task, run, worker: state.key });
 				workers.addOrphanedRun(state, key, orphanedRunDemand(task));
 			}
-			context.emitNow({ type: 'stop', workerKey: state.key, task, run });
+			context.emitNow({ type: 'stop', workerKey: state.key, task, run, isRepeat: true });
 		}
+		stopOrders.repeatBlocks(state);
 	};
 
 	/** An answer that names an incarnation that cannot be the current one is no answer of the worker that was polled. */
@@ -215,7 +221,10 @@
 			const acknowledged = state.unreachableSince === undefined ? state.acknowledgedEndIndex : 0;
 			return { fencingToken: context.term, acknowledged, leaseUntilMs, waitMs };
 		},
-		hasFiniteRuns: key => [...(workers.get(key)?.runs.values() ?? [])].some(({ task }) => !task.step.spec.isLasting),
+		hasFiniteRuns: key =>
+			[...(workers.get(key)?.runs.values() ?? [])].some(
+				({ task, phase }) => !task.step.spec.isLasting || phase === 'stopping',
+			),
 		pollAnswered: (key, answer, now) => {
 			const state = workers.get(key);
 			if (state === undefined || context.term === undefined) {
@@ -234,6 +243,10 @@
 		},
 		stopAnswered: (key, task, runNumber, answer, now) => {
 			const state = workers.get(key);
+			const run = findRun(key, task, runNumber);
+			if (run !== undefined) {
+				stopOrders.handleAnswer(run, answer);
+			}
 			if (state === undefined || answer.type !== 'done') {
 				return;
 			}
@@ -242,12 +255,17 @@
 			if (forbidden !== undefined) {
 				forbidden.stoppedClockMs = answer.clockMs;
 			}
-			const run = findRun(key, task, runNumber);
 			if (run !== undefined && run.confirmedAt === undefined) {
 				// The worker refuses this run from now on, so a later listing shows conclusively whether it has started.
 				run.startByMs = Math.min(run.startByMs, answer.clockMs);
 			}
 		},
+		stopAbandoned: (key, task, runNumber) => {
+			const run = findRun(key, task, runNumber);
+			if (run !== undefined) {
+				stopOrders.handleAbandoned(run);
+			}
+		},
 		paceAnswered: (key, task, runNumber, percent, answer) => {
 			const run = findRun(key, task, runNumber);
 			if (run !== undefined) {
--- a/packages/engine/src/test/fleetModel.ts
+++ b/packages/engine/src/test/fleetModel.ts
@@ -16,14 +16,12 @@
 const CLOCK_STEP_MS = 5;
 const POLL_WAIT_MS = 1_000;
 
+/** Number of attempts to send a stop again after the first got no answer. */
+const STOP_ATTEMPTS = 3;
+
 /** Time after which a worker that a task has crashed is back. */
 const CRASH_DURATION_MS = 3_000;
 
-interface ScheduledCall {
-	readonly at: number;
-	readonly run: () => void;
-}
-
 /** A fleet of model workers under one or more successive leaders, on a simulated clock. */
 export interface FleetModel {
 	readonly now: number;
@@ -40,7 +38,6 @@
 	changeLeader(formerHasStopped: boolean): void;
 	/** Passes the worker's current entry to the leader. */
 	listWorker(worker: ModelWorker): void;
-	unlistWorker(worker: ModelWorker): void;
 	/** Sets whether the journal stores appended batches from now on. */
 	setJournalAvailable(isAvailable: boolean): void;
 }
@@ -49,7 +46,7 @@
 export function createFleetModel(options: FleetModelOptions): FleetModel {
 	const { random, plan, faults } = options;
 	let now = 0;
-	const scheduledCalls: ScheduledCall[] = [];
+	const scheduledCalls: { readonly at: number; readonly run: () => void }[] = [];
 	const journal: JournalEvent[] = [];
 	const specs = new Map<string, JobSpec>();
 	const partitionedWorkers = new Set<string>();
@@ -204,14 +201,21 @@
 
 	const stop = (leader: ModelLeader, effect: Extract<EngineEffect, { type: 'stop' }>, attempt = 0): void => {
 		const { workerKey, task, run } = effect;
+		if (!leader.sessions.has(workerKey)) {
+			// The address of a worker that has never been monitored is not known.
+			leader.engine.monitor.stopAbandoned(workerKey, task, run);
+			return;
+		}
 		call<WorkerOrderOutcome>(
 			leader,
 			workerKey,
 			worker => worker.stop(task, run, leader.term, now),
 			answer => {
 				leader.engine.monitor.stopAnswered(workerKey, task, run, answer ?? noAnswer, now);
-				if (answer === undefined && attempt < 6) {
+				if (answer === undefined && attempt < STOP_ATTEMPTS) {
 					schedule(100 * 2 ** attempt, () => stop(leader, effect, attempt + 1));
+				} else if (answer === undefined) {
+					leader.engine.monitor.stopAbandoned(workerKey, task, run);
 				}
 			},
 			'order',
@@ -388,10 +392,6 @@
 			active.engine.workersChanged([{ key: worker.name, offset: 0, value: worker.entry() }], undefined, now);
 			flush(active);
 		},
-		unlistWorker: worker => {
-			active.engine.workersChanged([{ key: worker.name, offset: 0, value: undefined }], undefined, now);
-			flush(active);
-		},
 		setJournalAvailable: isAvailable => {
 			isJournalAvailable = isAvailable;
 		},
--- a/packages/engine/src/test/lateStarts.test.ts
+++ b/packages/engine/src/test/lateStarts.test.ts
@@ -60,6 +60,10 @@
 	};
 }
 
+function stopsOf(harness: EngineHarness): number {
+	return harness.takeEffects().filter(({ type }) => type === 'stop').length;
+}
+
 function startsOf(harness: EngineHarness): number {
 	return harness.takeEffects().filter(({ type }) => type === 'start').length;
 }
@@ -88,6 +92,18 @@
 		expect(startsOf(harness)).toBe(1);
 	});
 
+	// The first order is sent before the address of the new incarnation is known, and is lost.
+	it('is ordered to be blocked until the order is answered', () => {
+		const { harness, answerPoll, answerStop } = restartBeforeAnswer();
+		answerPoll([]);
+		expect(stopsOf(harness)).toBeGreaterThan(0);
+		answerPoll([]);
+		expect(stopsOf(harness)).toBe(1);
+		answerStop();
+		answerPoll([]);
+		expect(stopsOf(harness)).toBe(0);
+	});
+
 	it('has its task started again if it was stopped', () => {
 		const { harness, answerPoll, answerStop } = restartBeforeAnswer();
 		answerPoll([]);
