Keep runs of a former leader that a restarted worker started late

A leader that inherits a start which was not answered dropped its run when the worker had restarted, although the first list of the new incarnation showed it: the task started a second time beside it, or after its end.

Such a run now stays open and is blocked in the new incarnation. Starts of a former leader that the list does not show are fenced, and their runs are dropped as before.

--- a/packages/engine/src/common/workers/reconcile.ts
+++ b/packages/engine/src/common/workers/reconcile.ts
@@ -51,6 +51,11 @@
 	return { newEnds, confirmed, absent, orphaned, preventedStarts };
 }
 
+/** Returns the keys of all runs that a worker lists, as running or as ended. */
+export function listedRunKeys({ running, ended }: WorkerListing): ReadonlySet<string> {
+	return new Set([...running, ...ended].map(({ task, run }) => runKey(task, run)));
+}
+
 /**
  * Checks that a run missing from a listing taken at `clockMs` can neither start later nor appear in a later listing.
  */
--- a/packages/engine/src/common/workers/workerIncarnations.ts
+++ b/packages/engine/src/common/workers/workerIncarnations.ts
@@ -38,14 +38,25 @@
 	readonly recordAnswer: (state: WorkerState, clockMs: number | undefined, now: number) => void;
 	/** Records that a call to the worker got no answer. */
 	readonly markUnreachable: (state: WorkerState, reason: string, now: number) => void;
-	/** Ends an incarnation, none of whose runs is at work any more. */
-	readonly endIncarnation: (state: WorkerState, reason: IncarnationEnd, now: number) => void;
+	/**
+	 * Ends an incarnation, none of whose runs is at work any more.
+	 * @param listedByNext keys of the runs that the next incarnation lists
+	 */
+	readonly endIncarnation: (
+		state: WorkerState,
+		reason: IncarnationEnd,
+		now: number,
+		listedByNext?: ReadonlySet<string>,
+	) => void;
 	/** Records which runs of a lost worker may have crashed it. */
 	recordLoss(state: WorkerState, loss: WorkerLoss, now: number): void;
 	/** Orders an incarnation to refuse a start that may still reach it. */
 	blockStart(state: WorkerState, task: string, runNumber: number, run: TaskRun | undefined, expiresAt: number): void;
-	/** Makes an incarnation the current one, because the worker itself has said so, and ends all others of the worker. */
-	confirm(state: WorkerState, now: number): void;
+	/**
+	 * Makes an incarnation the current one, because the worker itself has said so, and ends all others of the worker.
+	 * @param listed keys of the runs that the incarnation lists as running or ended, among which may be late starts
+	 */
+	confirm(state: WorkerState, listed: ReadonlySet<string>, now: number): void;
 }
 
 /** Creates the component that tracks the incarnations of workers. */
@@ -130,9 +141,16 @@
 	};
 
 	/**
-	 * An unanswered start may still reach the next incarnation, so its run stays open until the start is blocked there.
+	 * An unanswered start may have reached the next incarnation, or may still reach it, so its run stays open until the start is
+	 * blocked there. Whether a start of a former leader was answered is not known; the first list of the next incarnation tells,
+	 * since such starts are fenced from then on.
 	 */
-	const endIncarnation = (state: WorkerState, reason: IncarnationEnd, now: number): void => {
+	const endIncarnation = (
+		state: WorkerState,
+		reason: IncarnationEnd,
+		now: number,
+		listedByNext: ReadonlySet<string> = new Set(),
+	): void => {
 		const next = workers.byName(state.worker);
 		state.hasEnded = true;
 		stopMonitoring(state);
@@ -149,12 +167,13 @@
 		});
 		for (const run of [...state.runs.values()]) {
 			const isUnanswered = run.phase !== 'running' && run.confirmedAt === undefined && run.startByMs > 0;
-			const mayStartLater =
+			const mayHaveStartedLate =
 				isUnanswered ||
+				listedByNext.has(runKey(run.task.name, run.run)) ||
 				state.unansweredStarts.some(({ task, runNumber, expiresAt }) => {
 					return now < expiresAt && runNumber === run.run && task === run.task.name;
 				});
-			if (next !== undefined && next !== state && mayStartLater) {
+			if (next !== undefined && next !== state && mayHaveStartedLate) {
 				blockStart(next, run.task.name, run.run, run, run.decidedAt + MAXIMUM_ORDER_DELAY_MS);
 			} else {
 				endRuns.discard(run, reason, now);
@@ -166,12 +185,12 @@
 		[...state.orphanedRuns.keys()].forEach(key => workers.removeOrphanedRun(state, key));
 	};
 
-	const confirm = (state: WorkerState, now: number): void => {
+	const confirm = (state: WorkerState, listed: ReadonlySet<string>, now: number): void => {
 		workers.confirm(state);
 		for (const other of workers.incarnationsOf(state.worker)) {
 			if (other !== state && !other.hasEnded) {
 				if (other.runs.size + other.orphanedRuns.size > 0 || monitoredAddresses.has(other.key)) {
-					endIncarnation(other, 'worker-restarted', now);
+					endIncarnation(other, 'worker-restarted', now, listed);
 				}
 				other.hasEnded = true;
 			}
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -14,7 +14,7 @@
 import { isConfirmed } from './entryClaims.js';
 import { createListedEnds } from './listedEnds.js';
 import { createPacing } from './pacing.js';
-import { reconcile } from './reconcile.js';
+import { listedRunKeys, reconcile } from './reconcile.js';
 import { createStallDetector } from './stallDetector.js';
 import { createStopOrders } from './stopOrders.js';
 import { createWorkerIncarnations, LEASE_MARGIN_MS, type IncarnationEnd } from './workerIncarnations.js';
@@ -154,7 +154,8 @@
 	};
 
 	/** The worker says that it is another incarnation: it has restarted, or the entry was not its own. */
-	const handleOtherIncarnation = (state: WorkerState, incarnation: number, now: number): void => {
+	const handleOtherIncarnation = (state: WorkerState, listing: WorkerListing, now: number): void => {
+		const { incarnation } = listing;
 		const other = workers.getOrCreate(state.worker, incarnation);
 		if (other.hasEnded || !workers.mayConfirm(other)) {
 			rejectIncarnation(state, incarnation, now);
@@ -170,7 +171,7 @@
 			former: state.incarnation,
 			runs: state.runs.size,
 		});
-		incarnations.confirm(other, now);
+		incarnations.confirm(other, listedRunKeys(listing), now);
 		incarnations.monitor(other);
 	};
 
@@ -179,7 +180,7 @@
 			return;
 		}
 		if (listing.incarnation !== state.incarnation) {
-			handleOtherIncarnation(state, listing.incarnation, now);
+			handleOtherIncarnation(state, listing, now);
 			return;
 		}
 		if (!isConfirmed(state) || workers.byName(state.worker) !== state) {
@@ -187,7 +188,7 @@
 				rejectIncarnation(state, listing.incarnation, now);
 				return;
 			}
-			incarnations.confirm(state, now);
+			incarnations.confirm(state, listedRunKeys(listing), now);
 		}
 		if (listing.clockMs < (state.clock?.clockMs ?? 0)) {
 			counters.add('listings_overtaken_total');
--- a/packages/engine/src/test/lateStarts.test.ts
+++ b/packages/engine/src/test/lateStarts.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import type { ListedEnd, RunEnd, WorkerListing } from '@chestnutwheel/ports/common/workerService.js';
+import type { ListedEnd, ListedRun, RunEnd, WorkerListing } from '@chestnutwheel/ports/common/workerService.js';
 import {
 	createEngineHarness,
 	defaultWorkerEntry,
@@ -13,10 +13,31 @@
 const TASK = `${JOB}.0.0.0`;
 const SECOND_INCARNATION = 5_000;
 
+/** Reading of the clock of the second incarnation at the time 0 of the harness. */
+const FIRST_CLOCK_MS = 100;
+
+/** Returns a function that answers polls of the second incarnation with its ends and runs. */
+function createPollAnswers(harness: EngineHarness): RestartedWorker['answerPoll'] {
+	const { monitor } = harness.engine;
+	const workerKey = `w@${SECOND_INCARNATION}`;
+	return (ended, running = []) => {
+		const listing: WorkerListing = {
+			incarnation: SECOND_INCARNATION,
+			clockMs: FIRST_CLOCK_MS + harness.now,
+			running,
+			ended,
+			mayHaveMoreEnds: false,
+		};
+		monitor.pollRequest(workerKey, 0, true, harness.now);
+		monitor.pollAnswered(workerKey, { type: 'listed', listing }, harness.now);
+		harness.advance(100);
+	};
+}
+
 interface RestartedWorker {
 	readonly harness: EngineHarness;
 	/** Answers a poll of the second incarnation. */
-	readonly answerPoll: (ended: readonly ListedEnd[]) => void;
+	readonly answerPoll: (ended: readonly ListedEnd[], running?: readonly ListedRun[]) => void;
 	/** Answers the order that blocks the start in the second incarnation. */
 	readonly answerStop: () => void;
 }
@@ -37,25 +58,13 @@
 	harness.takeEffects();
 	const entry = { ...defaultWorkerEntry, worker: 'w', host: 'host-w', pool: 'desk', incarnation: SECOND_INCARNATION };
 	engine.workersChanged([{ key: 'w', offset: 0, value: entry }], undefined, harness.now);
-	let clockMs = 1_000;
 	return {
 		harness,
-		answerPoll: ended => {
-			clockMs += 100;
-			const listing: WorkerListing = {
-				incarnation: SECOND_INCARNATION,
-				clockMs,
-				running: [],
-				ended,
-				mayHaveMoreEnds: false,
-			};
-			engine.monitor.pollRequest(`w@${SECOND_INCARNATION}`, 0, true, harness.now);
-			engine.monitor.pollAnswered(`w@${SECOND_INCARNATION}`, { type: 'listed', listing }, harness.now);
-			harness.advance(20);
-		},
+		answerPoll: createPollAnswers(harness),
 		answerStop: () => {
-			clockMs += 100;
-			engine.monitor.stopAnswered(`w@${SECOND_INCARNATION}`, TASK, 1, { type: 'done', clockMs }, harness.now);
+			const answer = { type: 'done', clockMs: FIRST_CLOCK_MS + harness.now } as const;
+			engine.monitor.stopAnswered(`w@${SECOND_INCARNATION}`, TASK, 1, answer, harness.now);
+			harness.advance(100);
 		},
 	};
 }
@@ -113,3 +122,47 @@
 		expect(startsOf(harness)).toBe(1);
 	});
 });
+
+describe('a start of a former leader that a restarted worker has executed late', () => {
+	/** Leads after a leader whose start was not answered; the worker has restarted meanwhile. */
+	function inheritStart(): Pick<RestartedWorker, 'harness' | 'answerPoll'> {
+		const options = { pools: [{ name: 'desk', isStandby: false, guardsRoom: false }], queues: [harnessQueue('desk')] };
+		const former = createEngineHarness(options);
+		former.addWorker('w', 'desk');
+		former.submit(JOB, 'desk', harnessJob(harnessStep({ count: 1 })));
+		former.advance(100);
+		const harness = createEngineHarness({ ...options, journal: former.journal });
+		harness.addWorker('other', 'desk');
+		const entry = { ...defaultWorkerEntry, worker: 'w', host: 'host-w', pool: 'desk', incarnation: SECOND_INCARNATION };
+		harness.engine.workersChanged([{ key: 'w', offset: 0, value: entry }], undefined, harness.now);
+		return { harness, answerPoll: createPollAnswers(harness) };
+	}
+
+	const lateRun: ListedRun = { task: TASK, run: 1, checkpoint: '', percent: 50, load: undefined };
+
+	// The run was dropped with the former incarnation of the worker, and the task started a second time beside it.
+	it('keeps its task from being started again while it runs', () => {
+		const { harness, answerPoll } = inheritStart();
+		answerPoll([], [lateRun]);
+		answerPoll([], [lateRun]);
+		expect(startsOf(harness)).toBe(0);
+		answerPoll([endOf('stopped')]);
+		harness.advance(1_000);
+		expect(startsOf(harness)).toBe(1);
+	});
+
+	it('ends its task if it has ended', () => {
+		const { harness, answerPoll } = inheritStart();
+		answerPoll([endOf('done')]);
+		harness.advance(1_000);
+		expect(startsOf(harness)).toBe(0);
+		expect(harness.engine.state(JOB, undefined)).toEqual({ type: 'state', state: 'done' });
+	});
+
+	it('has its task started again if the worker does not list it', () => {
+		const { harness, answerPoll } = inheritStart();
+		answerPoll([]);
+		harness.advance(1_000);
+		expect(startsOf(harness)).toBe(1);
+	});
+});
