--- a/packages/coordinator/src/common/uncertainSubmissions.ts
+++ b/packages/coordinator/src/common/uncertainSubmissions.ts
@@ -1,6 +1,7 @@
 import type { MonotonicTime } from '@chestnutwheel/base/common/clock.js';
+import type { Counters } from '@chestnutwheel/base/common/counters.js';
 
-/** Number of jobs that are remembered. The oldest is forgotten first. */
+/** Number of jobs that are remembered. The oldest is forgotten first, and counted. */
 const MAXIMUM_JOBS = 10_000;
 
 /** Time for which a job is remembered, in milliseconds. Callers have given up long before. */
@@ -16,7 +17,7 @@
 }
 
 /** Creates an empty set of uncertain submissions. */
-export function createUncertainSubmissions(): UncertainSubmissions {
+export function createUncertainSubmissions(counters: Counters): UncertainSubmissions {
 	/** Deadlines by job, in the order in which they pass. */
 	const forgetAt = new Map<string, MonotonicTime>();
 
@@ -25,6 +26,9 @@
 			if (deadline > now && forgetAt.size <= MAXIMUM_JOBS) {
 				return;
 			}
+			if (deadline > now) {
+				counters.add('uncertain_submissions_dropped_total');
+			}
 			forgetAt.delete(job);
 		}
 	};
--- a/packages/coordinator/src/node/coordinator.ts
+++ b/packages/coordinator/src/node/coordinator.ts
@@ -199,6 +199,7 @@
 		workerRelay,
 		signal,
 		clock,
+		counters,
 	});
 	const leaderClient = createLeaderClient({ election, handlers: () => handlers, planCache, clock, counters });
 
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
+import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { FollowerStatus, NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
 import { submitOnLeader } from './jobSubmission.js';
 import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
@@ -36,6 +37,7 @@
 	readonly workerFeed: WorkerFeed;
 	readonly signal: AbortSignal;
 	readonly clock: Clock;
+	readonly counters: Counters;
 }
 
 /** Creates the handlers of the peer protocol. */
@@ -44,7 +46,7 @@
 	const { log, workerFeed, workerCalls, workerRelay, signal } = options;
 	const currentTerm = (): Promise<LeaderTerm | undefined> => whenTermBegun(TAKEOVER_WAIT_MS);
 	const notLeading = (): NotLeader => ({ type: 'not-leading', leader: election.leader() });
-	const uncertainSubmissions = createUncertainSubmissions();
+	const uncertainSubmissions = createUncertainSubmissions(options.counters);
 
 	return {
 		'peer.hello': async ({ entryHost }, session) => {
--- a/packages/coordinator/src/test/jobSubmission.test.ts
+++ b/packages/coordinator/src/test/jobSubmission.test.ts
@@ -42,6 +42,7 @@
 		signal: new AbortController().signal,
 		isStoreReachable: () => Promise.resolve(true),
 		clock,
+		counters: createCounters(),
 	});
 
 	/** Creates the client of a daemon. The first `unansweredCalls` of its calls go to a leader that is killed meanwhile. */
--- a/packages/coordinator/src/test/peerHandlers.test.ts
+++ b/packages/coordinator/src/test/peerHandlers.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import type { LeaderIdentity } from '../common/peerProtocol.js';
@@ -36,6 +37,7 @@
 			signal: new AbortController().signal,
 			isStoreReachable: () => Promise.resolve(true),
 			clock: { now: () => 0, wallNow: () => 0 },
+			counters: createCounters(),
 		});
 		const answer = handlers['peer.hello']({ entryHost: 'front-2' }, { peerName: undefined, peer: undefined });
 		isLeading = true;
