--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -357,6 +357,7 @@
 			signal,
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
 			clock,
+			counters,
 		});
 		const endpoint: Endpoint = { handlers: () => handlers, incoming: new Set(), isRunning: true, answerDelayMs: 0 };
 		endpoints.set(address, endpoint);
