--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -344,20 +344,17 @@
 			},
 		});
 		const handlers = createPeerHandlers({
-			self,
+			...shared,
 			status: () => ({ canLead: !draining.signal.aborted, uptimeMs: clock.now() - startedAt }),
 			election,
 			whenTermBegun: () => Promise.resolve(undefined),
 			blockedSince: () => termLeader.blockedSince(),
 			planCache: noPlan,
-			log,
 			workerFeed: { snapshot: noEntries, changes: noEntries },
 			workerCalls: { execute: () => undefined, run: () => Promise.resolve() },
 			workerRelay: { handleOutcomes: () => undefined },
 			signal,
 			isStoreReachable: async () => (await log.newest('leader', signal)).type === 'newest',
-			clock,
-			counters,
 		});
 		const endpoint: Endpoint = { handlers: () => handlers, incoming: new Set(), isRunning: true, answerDelayMs: 0 };
 		endpoints.set(address, endpoint);
