--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -71,7 +71,7 @@
 			if (term !== undefined) {
 				return submitOnLeader(term, submission, now);
 			}
-			// Until the journal is read, nobody knows whether a job that an earlier leader was sent is in it.
+			// A job that an earlier leader has received may be in the journal, which this leader has not read yet.
 			if (submission.mayBeStored === true) {
 				uncertainSubmissions.add(submission.id, now);
 			}
--- a/packages/coordinator/src/test/jobSubmission.test.ts
+++ b/packages/coordinator/src/test/jobSubmission.test.ts
@@ -2,14 +2,12 @@
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import { createSteppedClock } from '@chestnutwheel/base/common/clock.js';
 import { errorKindOf } from '@chestnutwheel/base/common/kindError.js';
-import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
-import type { LogService } from '@chestnutwheel/ports/common/logService.js';
-import type { PeerHandlers, PeerMethods } from '../common/peerProtocol.js';
+import type { PeerMethods } from '../common/peerProtocol.js';
 import { createLeaderClient, type LeaderClient } from '../node/entry/leaderClient.js';
-import { createPeerHandlers } from '../node/entry/peerHandlers.js';
 import type { LeaderTerm } from '../node/leader/leaderTerm.js';
 import type { LeaderElection } from '../node/leadership/leaderElection.js';
 import type { PlanCache } from '../node/plan/planCache.js';
+import { idlePeerHandlers } from './idlePeerHandlers.js';
 
 const submission: PeerMethods['job.submit']['parameters'] = {
 	id: '00000000000000a1',
@@ -28,21 +26,11 @@
 	const clock = createSteppedClock(10_000);
 	const blockedSince = clock.now() - 1_000;
 	let term: LeaderTerm | undefined;
-	const successor: PeerHandlers = createPeerHandlers({
+	const successor = idlePeerHandlers({
 		self: { entryHost: 'front-2' },
-		election: { leader: () => undefined } as Partial<LeaderElection> as LeaderElection,
-		status: () => ({ canLead: true, uptimeMs: 0 }),
 		whenTermBegun: () => Promise.resolve(term),
 		blockedSince: () => (term === undefined ? blockedSince : undefined),
-		planCache,
-		log: {} as LogService,
-		workerFeed: {} as WorkerFeed,
-		workerCalls: { execute: () => undefined, run: () => Promise.resolve() },
-		workerRelay: { handleOutcomes: () => undefined },
-		signal: new AbortController().signal,
-		isStoreReachable: () => Promise.resolve(true),
 		clock,
-		counters: createCounters(),
 	});
 
 	/** Creates the client of a daemon. The first `unansweredCalls` of its calls go to a leader that is killed meanwhile. */
--- a/packages/coordinator/src/test/peerHandlers.test.ts
+++ b/packages/coordinator/src/test/peerHandlers.test.ts
@@ -1,11 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { createCounters } from '@chestnutwheel/base/common/counters.js';
-import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
-import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import type { LeaderIdentity } from '../common/peerProtocol.js';
-import { createPeerHandlers } from '../node/entry/peerHandlers.js';
 import type { LeaderElection } from '../node/leadership/leaderElection.js';
-import type { PlanCache } from '../node/plan/planCache.js';
+import { idlePeerHandlers } from './idlePeerHandlers.js';
 
 const identity: LeaderIdentity = { term: 5, entryHost: 'front-1', address: '10.0.0.1:7000' };
 
@@ -23,22 +19,7 @@
 				return isLeading;
 			},
 		} as Partial<LeaderElection> as LeaderElection;
-		const handlers = createPeerHandlers({
-			self: { entryHost: 'front-1' },
-			election,
-			status: () => ({ canLead: true, uptimeMs: 0 }),
-			whenTermBegun: () => Promise.resolve(undefined),
-			blockedSince: () => undefined,
-			planCache: {} as PlanCache,
-			log: {} as LogService,
-			workerFeed: {} as WorkerFeed,
-			workerCalls: { execute: () => undefined, run: () => Promise.resolve() },
-			workerRelay: { handleOutcomes: () => undefined },
-			signal: new AbortController().signal,
-			isStoreReachable: () => Promise.resolve(true),
-			clock: { now: () => 0, wallNow: () => 0 },
-			counters: createCounters(),
-		});
+		const handlers = idlePeerHandlers({ election });
 		const answer = handlers['peer.hello']({ entryHost: 'front-2' }, { peerName: undefined, peer: undefined });
 		isLeading = true;
 		decide();
--- a/packages/coordinator/src/test/workerOrders.test.ts
+++ b/packages/coordinator/src/test/workerOrders.test.ts
@@ -6,67 +6,29 @@
 
 const stopEffect = { type: 'stop', workerKey: 'w0@1', task: 'service.0.0.0', run: 1, isRepeat: false } as const;
 
-/** Sends a stop whose first attempt gets no answer. Returns what happened, in order. */
-async function sendUnansweredStop(mayRepeat: readonly boolean[]): Promise<readonly string[]> {
-	const events: string[] = [];
-	const verdicts = [...mayRepeat];
-	const outcomes: WorkerOrderOutcome[] = [
-		{ type: 'silent', reason: 'no answer' },
-		{ type: 'done', clockMs: 5 },
-	];
-	const end = new AbortController();
-	await new Promise<void>(resolve => {
-		const orders = createWorkerOrders(
-			{
-				engine: {
-					term: 7,
-					monitor: {
-						stopAnswered: (_key, _task, _run, { type }) => {
-							events.push(type);
-							if (type === 'done') {
-								resolve();
-							}
-						},
-					} as Partial<Engine['monitor']> as Engine['monitor'],
-					mayRepeatStop: () => {
-						const isAllowed = verdicts.shift() ?? true;
-						events.push(isAllowed ? 'allowed' : 'held');
-						return isAllowed;
-					},
-				},
-				workers: {
-					stop: () => Promise.resolve(outcomes.shift() ?? { type: 'done', clockMs: 9 }),
-				} as Partial<WorkerService> as WorkerService,
-				clock: { now: () => 0, wallNow: () => 0 },
-				counters: createCounters(),
-				logDecision: () => undefined,
-				flush: () => undefined,
-				isTermConfirmed: () => true,
-			},
-			end.signal,
-		);
-		orders.setAddress('w0@1', { worker: 'w0', address: '10.0.0.1:1' });
-		orders.stop(stopEffect);
-	});
-	end.abort();
-	return events;
-}
+const unanswered: WorkerOrderOutcome = { type: 'silent', reason: 'no answer' };
+const done: WorkerOrderOutcome = { type: 'done', clockMs: 5 };
 
-describe('a stop that got no answer', () => {
-	// The stop was repeated by time alone, when the other tasks of its step had been lost since it was decided.
-	it('is sent again only once the engine allows it', async () => {
-		expect(await sendUnansweredStop([false, false, true])).toEqual(['silent', 'held', 'held', 'allowed', 'done']);
-	});
-});
+interface StopScenario {
+	/** Stops that are ordered, at once; one unless given. */
+	readonly effects?: readonly (typeof stopEffect)[];
+	/** Answers to the attempts, in turn; further attempts are not answered. */
+	readonly outcomes?: readonly WorkerOrderOutcome[];
+	/** Whether the engine allows to send a stop again, each time that it is asked; it does unless given. */
+	readonly mayRepeat?: readonly boolean[];
+	readonly isAddressKnown?: boolean;
+}
 
-/** Orders stops whose attempts are answered in turn, and returns what the engine is told. */
-async function orderStops(
-	effects: readonly (typeof stopEffect)[],
-	outcomes: readonly WorkerOrderOutcome[],
+/** Orders stops until one is answered or abandoned. Returns what the engine was told and asked, and the number of attempts. */
+async function orderStops({
+	effects = [stopEffect],
+	outcomes = [],
+	mayRepeat = [],
 	isAddressKnown = true,
-): Promise<{ readonly events: readonly string[]; readonly attempts: number }> {
+}: StopScenario): Promise<{ readonly events: readonly string[]; readonly attempts: number }> {
 	const events: string[] = [];
-	const pending = [...outcomes];
+	const pendingOutcomes = [...outcomes];
+	const verdicts = [...mayRepeat];
 	let attempts = 0;
 	const end = new AbortController();
 	await new Promise<void>(resolve => {
@@ -86,12 +48,16 @@
 							resolve();
 						},
 					} as Partial<Engine['monitor']> as Engine['monitor'],
-					mayRepeatStop: () => true,
+					mayRepeatStop: () => {
+						const isAllowed = verdicts.shift() ?? true;
+						events.push(isAllowed ? 'allowed' : 'held');
+						return isAllowed;
+					},
 				},
 				workers: {
 					stop: () => {
 						attempts++;
-						return Promise.resolve(pending.shift() ?? { type: 'silent', reason: 'no answer' });
+						return Promise.resolve(pendingOutcomes.shift() ?? unanswered);
 					},
 				} as Partial<WorkerService> as WorkerService,
 				clock: { now: () => 0, wallNow: () => 0 },
@@ -111,19 +77,28 @@
 	return { events, attempts };
 }
 
+describe('a stop that got no answer', () => {
+	// The stop was repeated by time alone, when the other tasks of its step had been lost since it was decided.
+	it('is sent again only once the engine allows it', async () => {
+		const { events } = await orderStops({ outcomes: [unanswered, done], mayRepeat: [false, false, true] });
+		expect(events).toEqual(['silent', 'held', 'held', 'allowed', 'done']);
+	});
+});
+
 // The engine orders a stop again only if it learns that nothing is being sent any more. Its run went on otherwise.
 describe('a stop that cannot be delivered', () => {
 	it('is abandoned after a few attempts', async () => {
-		const { events } = await orderStops([stopEffect], []);
-		expect(events).toEqual(['silent', 'silent', 'silent', 'silent', 'abandoned']);
+		const { events } = await orderStops({});
+		const repeats = ['allowed', 'silent', 'allowed', 'silent', 'allowed', 'silent'];
+		expect(events).toEqual(['silent', ...repeats, 'abandoned']);
 	});
 
 	it('is abandoned at once if the address of the worker is not known', async () => {
-		expect(await orderStops([stopEffect], [], false)).toEqual({ events: ['abandoned'], attempts: 0 });
+		expect(await orderStops({ isAddressKnown: false })).toEqual({ events: ['abandoned'], attempts: 0 });
 	});
 
 	it('is sent once, however often it is ordered meanwhile', async () => {
-		const { attempts } = await orderStops([stopEffect, stopEffect, stopEffect], [{ type: 'done', clockMs: 5 }]);
+		const { attempts } = await orderStops({ effects: [stopEffect, stopEffect, stopEffect], outcomes: [done] });
 		expect(attempts).toBe(1);
 	});
 });
