--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { LogService, ReadOutcome } from '@chestnutwheel/ports/common/logService.js';
-import { kindError } from '@chestnutwheel/base/common/kindError.js';
+import { errorMessageOf, kindError } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
+import type { SkippedRecord } from '../../common/skippedRecordLog.js';
 import { termReactions } from '../../common/storeReactions.js';
 import { decodeEvents } from './journalCodec.js';
 import { JOURNAL_WRITER } from './journalWriter.js';
@@ -14,12 +15,21 @@
 /** Reads at the end of the journal return at once. */
 const NO_WAIT_MS = 0;
 
+/** Maximum length of the values in a log line about a skipped event. */
+const MAXIMUM_REASON_LENGTH = 80;
+
 /** Statistics of a replay of the journal. */
 export interface JournalReadResult {
 	readonly records: number;
 	readonly bytes: number;
 	/** Number of records that could not be decoded, and of events that could not be applied. They were skipped. */
 	readonly unreadable: number;
+	/** Offset of the first record read; `undefined` if none was. */
+	readonly firstOffset: number | undefined;
+	/** End offset of the journal when the predecessors were fenced off. */
+	readonly endOffset: number;
+	/** Offset after the last record read. */
+	readonly reachedOffset: number;
 	/** Time that the log took for the append that fenced off the predecessors, in milliseconds. */
 	readonly appendLatencyMs: number;
 }
@@ -27,6 +37,13 @@
 /** Reports whether the log serves the takeover: `true` when a call failed, `false` when one succeeded. */
 export type BlockedListener = (isBlocked: boolean) => void;
 
+/** Receives the events of the journal and the progress of a takeover. */
+export interface TakeoverListener {
+	readonly onEvent: (event: JournalEvent, offset: number) => void;
+	readonly onSkipped: (skipped: SkippedRecord) => void;
+	readonly onBlocked: BlockedListener;
+}
+
 /**
  * Fences off the journal writers of earlier terms, then replays the journal to its end. Calls that the log does not serve
  * are repeated until the signal is aborted.
@@ -36,12 +53,13 @@
 	log: LogService,
 	term: number,
 	clock: Clock,
-	onEvent: (event: JournalEvent, offset: number) => void,
-	onBlocked: BlockedListener,
+	listener: TakeoverListener,
 	signal: AbortSignal,
 ): Promise<JournalReadResult> {
+	const { onBlocked, onSkipped } = listener;
 	const { end, appendLatencyMs } = await fencePredecessors(log, term, clock, onBlocked, signal);
 	let from = 0;
+	let firstOffset: number | undefined;
 	let records = 0;
 	let bytes = 0;
 	let unreadable = 0;
@@ -70,6 +88,7 @@
 			break;
 		}
 		let offset = from;
+		firstOffset ??= from;
 		from += outcome.records.length;
 		// The next records arrive while these are applied.
 		pendingRead = from < end ? read() : undefined;
@@ -79,32 +98,36 @@
 			const events = decodeEvents(record);
 			if (events === undefined) {
 				unreadable++;
+				onSkipped({ offset, event: undefined, reason: 'the record is not a list of events' });
 			}
 			for (const event of events ?? []) {
-				if (!applyEvent(event, offset, onEvent)) {
+				if (!applyEvent(event, offset, listener)) {
 					unreadable++;
 				}
 			}
 			offset++;
 		}
 	}
-	return { records, bytes, unreadable, appendLatencyMs };
+	return { records, bytes, unreadable, firstOffset, endOffset: end, reachedOffset: from, appendLatencyMs };
 }
 
 /** Applies an event. @returns whether it could be applied; another build or a faulty writer may have written it */
-function applyEvent(
-	event: JournalEvent,
-	offset: number,
-	onEvent: (event: JournalEvent, offset: number) => void,
-): boolean {
+function applyEvent(event: JournalEvent, offset: number, { onEvent, onSkipped }: TakeoverListener): boolean {
 	try {
 		onEvent(event, offset);
 		return true;
-	} catch {
+	} catch (error) {
+		onSkipped({ offset, event: typeOf(event), reason: errorMessageOf(error).slice(0, MAXIMUM_REASON_LENGTH) });
 		return false;
 	}
 }
 
+/** Returns the type of an event that may be any JSON value. */
+function typeOf(event: unknown): string {
+	const type = typeof event === 'object' && event !== null && 'type' in event ? event.type : undefined;
+	return typeof type === 'string' ? type.slice(0, MAXIMUM_REASON_LENGTH) : 'none';
+}
+
 /**
  * Raises the writer epoch of the journal to the term.
  * @returns the end offset of the journal, and the time that the successful append took, in milliseconds
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -13,6 +13,7 @@
 import type { LeaderIdentity } from '../../common/peerProtocol.js';
 import { parseTaskName } from '@chestnutwheel/engine/common/jobs/taskName.js';
 import { JOURNAL_STALL_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
+import { createSkippedRecordLog } from '../../common/skippedRecordLog.js';
 import { pollIntervalMs } from '../../common/pollInterval.js';
 import { createTimerLag } from '../../common/timerLag.js';
 import type { TermProof } from '../../common/termProof.js';
@@ -97,8 +98,11 @@
 		log,
 		identity.term,
 		clock,
-		(event, offset) => engine.replay(event, offset, clock.now()),
-		options.onBlocked,
+		{
+			onEvent: (event, offset) => engine.replay(event, offset, clock.now()),
+			onSkipped: createSkippedRecordLog({ term: identity.term, counters, logDecision }),
+			onBlocked: options.onBlocked,
+		},
 		signal,
 	);
 	logDecision('journal-read', { term: identity.term, ...journalRead, tookMs: Math.round(clock.now() - beganAt) });
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -292,7 +292,8 @@
 			onFollowerStatus: () => undefined,
 			begin: async (identity, proof, onBlocked, termSignal) => {
 				const ignore = (): undefined => undefined;
-				const read = await takeOverJournal(relayedLog, identity.term, clock, ignore, onBlocked, termSignal);
+				const listener = { onEvent: ignore, onSkipped: ignore, onBlocked };
+				const read = await takeOverJournal(relayedLog, identity.term, clock, listener, termSignal);
 				const observed = terms.find(({ term }) => term === identity.term);
 				if (observed !== undefined) {
 					observed.begunAt = clock.now();
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -1,7 +1,9 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
+import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import { encodeEvents } from '../node/journal/journalCodec.js';
-import { takeOverJournal } from '../node/journal/readJournal.js';
+import { createSkippedRecordLog, type SkippedRecord } from '../common/skippedRecordLog.js';
+import { takeOverJournal, type JournalReadResult, type TakeoverListener } from '../node/journal/readJournal.js';
 
 const RECORDS_PER_READ = 3;
 const END = 10;
@@ -28,6 +30,12 @@
 
 const clock = { now: () => 0, wallNow: () => 0 };
 
+const takeOver = (log: LogService, listener: Partial<TakeoverListener> = {}): Promise<JournalReadResult> => {
+	const ignore = (): undefined => undefined;
+	const complete = { onEvent: ignore, onSkipped: ignore, onBlocked: ignore, ...listener };
+	return takeOverJournal(log, 1, clock, complete, new AbortController().signal);
+};
+
 describe('the takeover of the journal', () => {
 	// A new leader waited for each part of the journal, then applied it, while callers waited for a leader.
 	it('reads the next records while it applies the last ones', async () => {
@@ -35,10 +43,11 @@
 		const appliedAtRead: number[] = [];
 		let applied = 0;
 		const log = createLog(reads, () => appliedAtRead.push(applied));
-		const apply = (): void => {
-			applied++;
-		};
-		const result = await takeOverJournal(log, 1, clock, apply, () => undefined, new AbortController().signal);
+		const result = await takeOver(log, {
+			onEvent: () => {
+				applied++;
+			},
+		});
 		expect(result.records).toBe(END);
 		expect(reads).toEqual([0, 3, 6, 9]);
 		expect(appliedAtRead).toEqual([0, 0, 3, 6]);
@@ -47,14 +56,60 @@
 	it('applies each record once and with its offset after the oldest have expired', async () => {
 		const applied: [number, number][] = [];
 		const log = createLog([], () => undefined, 4);
-		await takeOverJournal(
-			log,
-			1,
-			clock,
-			(event, offset) => applied.push([event.type === 'settled' ? event.term : -1, offset]),
-			() => undefined,
-			new AbortController().signal,
-		);
+		await takeOver(log, {
+			onEvent: (event, offset) => applied.push([event.type === 'settled' ? event.term : -1, offset]),
+		});
 		expect(applied).toEqual([4, 5, 6, 7, 8, 9].map(offset => [offset, offset]));
 	});
+
+	// The line about a takeover did not show whether the replay had begun late or ended early.
+	it('reports the first offset read, the end, and the offset reached', async () => {
+		const result = await takeOver(createLog([], () => undefined, 4));
+		expect(result).toMatchObject({ firstOffset: 4, endOffset: END, reachedOffset: END });
+	});
+
+	it('reports the records and events that it skips, with offset, type and reason', async () => {
+		const skipped: SkippedRecord[] = [];
+		const encoder = new TextEncoder();
+		const contents = ['[{"type":"settled","term":1},null]', '{', '[{"type":"later"}]'];
+		const log = {
+			append: () => Promise.resolve({ type: 'appended', offset: 3, end: 3 }),
+			read: () =>
+				Promise.resolve({ type: 'records', first: 0, end: 3, records: contents.map(text => encoder.encode(text)) }),
+		} as Partial<LogService> as LogService;
+		const { unreadable } = await takeOver(log, {
+			onEvent: event => {
+				if ((event as unknown) === null || event.type !== 'settled') {
+					throw new Error('no handler');
+				}
+			},
+			onSkipped: record => skipped.push(record),
+		});
+		expect(unreadable).toBe(3);
+		expect(skipped).toEqual([
+			{ offset: 0, event: 'none', reason: 'no handler' },
+			{ offset: 1, event: undefined, reason: 'the record is not a list of events' },
+			{ offset: 2, event: 'later', reason: 'no handler' },
+		]);
+	});
+});
+
+describe('the log of skipped records', () => {
+	it('has ten lines for each takeover and counts all of them', () => {
+		const counters = createCounters();
+		const logDecision = vi.fn();
+		const logSkipped = createSkippedRecordLog({ term: 7, counters, logDecision });
+		for (let offset = 0; offset < 25; offset++) {
+			logSkipped({ offset, event: offset < 20 ? 'later' : undefined, reason: 'unknown' });
+		}
+		expect(logDecision).toHaveBeenCalledTimes(10);
+		expect(logDecision).toHaveBeenLastCalledWith('journal-record-skipped', {
+			term: 7,
+			offset: 9,
+			event: 'later',
+			reason: 'unknown',
+		});
+		expect(counters.value('journal_records_skipped_total', { type: 'event' })).toBe(20);
+		expect(counters.value('journal_records_skipped_total', { type: 'record' })).toBe(5);
+	});
 });
