Log answered cancels, unknown jobs and the first start of each job

Callers saw tasks of a job start after the cancel of the job had been acknowledged. The logs could not show why: a cancel or a request for the state that was answered "no such job" left no line at the leader or at the daemon that answered, and no line told which leader had decided, in which term, or when a job was first started in a term.

The leader now adds `decidedBy` (its name, its term and the age of the newest confirmation of the term by the store) to its answers to cancels, to state requests for unknown jobs and to refused submissions. The field is optional, since earlier versions do not send it.

New lines: `cancel-answered`, `cancel-unanswered` and `state-unknown` at the daemon that answers, `cancel-of-unknown-job` and `job-started` (one per job and term) at the leader. `job-cancelled`, `job-refused` and `submission-refused` get the term. New counters: `cancels_total` by answer and `states_unknown_total`. No decision changes.

Not run: a change of leader between cancel and start, daemons of two versions beside each other.

--- a/packages/coordinator/src/common/peerProtocol.ts
+++ b/packages/coordinator/src/common/peerProtocol.ts
@@ -20,6 +20,20 @@
 	readonly address: string;
 }
 
+/** Leader that decided a call, and how recently the store had confirmed its term when it answered. */
+export interface DecidingLeader {
+	readonly leader: string;
+	readonly term: number;
+	/** Time since the newest confirmation of the term by the store, in milliseconds. */
+	readonly proofAgeMs: number;
+}
+
+/** Part of the response of a leader that identifies it. */
+export interface Decided {
+	/** Earlier versions do not send it. */
+	readonly decidedBy?: DecidingLeader | undefined;
+}
+
 /** Response of a daemon that does not lead, or does not lead yet. */
 export interface NotLeader {
 	readonly type: 'not-leading';
@@ -78,14 +92,20 @@
 		};
 		readonly result: { readonly planVersion: number; readonly newestWave: number } & FollowerStatus;
 	};
-	'job.submit': { readonly parameters: SubmitParameters; readonly result: SubmitDecision | NotLeader | StalePlan };
+	/** Submits a job. A refusal identifies the leader. */
+	'job.submit': {
+		readonly parameters: SubmitParameters;
+		readonly result: (SubmitDecision & Decided) | NotLeader | StalePlan;
+	};
+	/** Cancels a job. The response identifies the leader. */
 	'job.cancel': {
 		readonly parameters: { readonly id: string; readonly team: string | undefined };
-		readonly result: CancelDecision | NotLeader;
+		readonly result: (CancelDecision & Decided) | NotLeader;
 	};
+	/** Returns the state of a job. The response identifies the leader if it does not know the job. */
 	'job.state': {
 		readonly parameters: { readonly id: string; readonly team: string | undefined };
-		readonly result: StateDecision | NotLeader;
+		readonly result: (StateDecision & Decided) | NotLeader;
 	};
 	'queue.pending': {
 		readonly parameters: { readonly queue: string };
--- a/packages/coordinator/src/node/entry/callService.ts
+++ b/packages/coordinator/src/node/entry/callService.ts
@@ -6,9 +6,10 @@
 import type { DecisionLogger } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { QueuePlan } from '@chestnutwheel/ports/common/fleetPlan.js';
 import type { JobSpec, JobState } from '@chestnutwheel/ports/common/jobSpec.js';
+import type { PeerMethods } from '../../common/peerProtocol.js';
 import { createRouteTable, type RouteTable } from '../../common/routeTable.js';
 import type { PlanCache } from '../plan/planCache.js';
-import type { LeaderClient } from './leaderClient.js';
+import type { LeaderClient, LeaderResult } from './leaderClient.js';
 
 /** Injection token of the {@link CallService}. */
 export const CALL_SERVICE = Symbol('CallService');
@@ -88,6 +89,23 @@
 	const deadlineOf = ({ waitMs }: CallContext): number =>
 		clock.now() + Math.min(MAXIMUM_CALL_MS, Math.max(0, (waitMs ?? MAXIMUM_CALL_MS) - RESPONSE_MARGIN_MS));
 
+	const callCancel = async (
+		parameters: PeerMethods['job.cancel']['parameters'],
+		context: CallContext,
+	): Promise<LeaderResult<'job.cancel'>> => {
+		try {
+			return await leaderClient.call('job.cancel', parameters, deadlineOf(context), context.signal);
+		} catch (error) {
+			counters.add('cancels_total', { answer: 'unanswered' });
+			logDecision('cancel-unanswered', {
+				job: parameters.id,
+				kind: errorKindOf(error),
+				reason: errorMessageOf(error),
+			});
+			throw error;
+		}
+	};
+
 	return {
 		route: ({ host, path, key }) => {
 			const { table, version, bodyBytes } = currentRoutes();
@@ -117,6 +135,7 @@
 						job: id,
 						queue: queue.name,
 						kind: decision.kind,
+						term: decision.decidedBy?.term,
 						waitMs: context.waitMs,
 					});
 				}
@@ -136,7 +155,9 @@
 			}
 		},
 		cancel: async ({ team }, id, context) => {
-			const decision = await leaderClient.call('job.cancel', { id, team }, deadlineOf(context), context.signal);
+			const decision = await callCancel({ id, team }, context);
+			counters.add('cancels_total', { answer: decision.type });
+			logDecision('cancel-answered', { job: id, answer: decision.type, ...decision.decidedBy });
 			if (decision.type === 'unknown-job') {
 				throw kindError('unknown-job', `there is no job ${id}`);
 			}
@@ -144,6 +165,8 @@
 		state: async ({ team }, id, context) => {
 			const decision = await leaderClient.call('job.state', { id, team }, deadlineOf(context), context.signal);
 			if (decision.type === 'unknown-job') {
+				counters.add('states_unknown_total');
+				logDecision('state-unknown', { job: id, ...decision.decidedBy });
 				throw kindError('unknown-job', `there is no job ${id}`);
 			}
 			return decision.state;
--- a/packages/coordinator/src/node/entry/jobSubmission.ts
+++ b/packages/coordinator/src/node/entry/jobSubmission.ts
@@ -1,6 +1,7 @@
 import { STALL_RETRY_MS } from '@chestnutwheel/engine/common/jobs/journalStall.js';
 import type { Submission, SubmitDecision } from '@chestnutwheel/engine/common/engineMessages.js';
 import type { PeerMethods } from '../../common/peerProtocol.js';
+import { decidingLeader } from '../leader/decidingLeader.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 
 /** Refusal of a job that the journal does not store at present, and of which no record will be. */
@@ -27,7 +28,9 @@
 	const decision = engine.submit(submission, now);
 	term.flush();
 	if (decision.type === 'refused') {
-		return decision;
+		return { ...decision, decidedBy: decidingLeader(term) };
 	}
-	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored' ? decision : journalUnavailable;
+	return (await term.whenJobStored(submission.id, decision.batch)) === 'stored'
+		? decision
+		: { ...journalUnavailable, decidedBy: decidingLeader(term) };
 }
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -6,6 +6,7 @@
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
 import { createUncertainSubmissions } from '../../common/uncertainSubmissions.js';
 import { decodeBytes, encodeNewestOutcome, encodeReadOutcome } from '../../common/relayCodec.js';
+import { decidingLeader } from '../leader/decidingLeader.js';
 import type { LeaderTerm } from '../leader/leaderTerm.js';
 import type { LeaderElection } from '../leadership/leaderElection.js';
 import { newestWaveOf, type PlanCache } from '../plan/planCache.js';
@@ -92,9 +93,16 @@
 			if (decision.type === 'cancelled') {
 				await term.whenStored(decision.batch);
 			}
-			return decision;
+			return { ...decision, decidedBy: decidingLeader(term) };
+		},
+		'job.state': async ({ id, team }) => {
+			const term = await currentTerm();
+			if (term === undefined) {
+				return notLeading();
+			}
+			const decision = term.engine.state(id, team);
+			return decision.type === 'unknown-job' ? { ...decision, decidedBy: decidingLeader(term) } : decision;
 		},
-		'job.state': async ({ id, team }) => (await currentTerm())?.engine.state(id, team) ?? notLeading(),
 		'queue.pending': async ({ queue }) => {
 			const term = await currentTerm();
 			return term === undefined ? notLeading() : { type: 'pending', pending: term.engine.pendingCount(queue) };
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -50,6 +50,8 @@
 /** Term in which this daemon leads. */
 export interface LeaderTerm {
 	readonly identity: LeaderIdentity;
+	/** Newest confirmation of the term by the store. */
+	readonly proof: Pick<TermProof, 'ageMs'>;
 	readonly engine: Engine;
 	/** Resolves when a batch is stored. Rejects when the term ends before. */
 	whenStored(batch: number): Promise<void>;
@@ -328,6 +330,7 @@
 
 	return {
 		identity,
+		proof,
 		engine,
 		whenStored,
 		whenJobStored: (job, batch) => waitForBatch(batch, job),
--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -46,7 +46,14 @@
 
 	const refuse = (submission: Submission, kind: SubmitRefusal, reason: string, retryAfterMs = 0): SubmitDecision => {
 		counters.add('jobs_refused_total', { queue: submission.queue, kind });
-		logDecision('job-refused', { job: submission.id, queue: submission.queue, kind, reason, retryAfterMs });
+		logDecision('job-refused', {
+			job: submission.id,
+			queue: submission.queue,
+			kind,
+			reason,
+			retryAfterMs,
+			term: context.term,
+		});
 		return { type: 'refused', kind, reason, retryAfterMs };
 	};
 
@@ -232,12 +239,13 @@
 		cancel: (id, team, now) => {
 			const job = findJob(id, team);
 			if (job === undefined) {
+				logDecision('cancel-of-unknown-job', { job: id, term: context.term });
 				return { type: 'unknown-job' };
 			}
 			if (job.state === 'open') {
 				context.record({ type: 'cancelled', job: id }, now);
 				counters.add('jobs_cancelled_total', { queue: job.accepted.queue });
-				logDecision('job-cancelled', { job: id });
+				logDecision('job-cancelled', { job: id, term: context.term });
 				runTerminator.stopJob(job, 'cancelled');
 			}
 			return { type: 'cancelled', batch: Math.max(job.acceptedBatch, job.stateBatch) };
--- a/packages/engine/src/common/scheduling/schedulingPass.ts
+++ b/packages/engine/src/common/scheduling/schedulingPass.ts
@@ -1,6 +1,6 @@
 import { addResources, fitsInto, subtractResources } from '@chestnutwheel/ports/common/resources.js';
 import type { EngineContext } from '../engineContext.js';
-import type { Step, Task } from '../jobs/job.js';
+import type { Job, Step, Task } from '../jobs/job.js';
 import type { StartedRun } from '../jobs/journalEvent.js';
 import { recordStart } from '../jobs/stepTimeline.js';
 import { formatStepName } from '../jobs/taskName.js';
@@ -35,6 +35,7 @@
 export function createSchedulingPass(context: EngineContext): SchedulingPass {
 	const { workers, teamUsage: teams, jobs, counters } = context;
 	let nextAt: number | undefined;
+	const startedJobs = new WeakSet<Job>();
 
 	const requestPassAt = (time: number): void => {
 		nextAt = nextAt === undefined ? time : Math.min(nextAt, time);
@@ -149,7 +150,23 @@
 		return undefined;
 	};
 
+	/** Logs the first start of a job in this term. The starts of its other tasks are too many to be logged. */
+	const logFirstStart = (job: Job): void => {
+		if (startedJobs.has(job)) {
+			return;
+		}
+		startedJobs.add(job);
+		context.logDecision('job-started', {
+			job: job.accepted.id,
+			queue: job.accepted.queue,
+			term: context.term,
+			isFromJournal: job.acceptedBatch === 0,
+			state: job.hasStarted ? 'running' : 'queued',
+		});
+	};
+
 	const start = (task: Task, { state }: SchedulableWorker, run: number, now: number): void => {
+		logFirstStart(task.step.occurrence.job);
 		const started: StartedRun = [task.name, run, state.worker, state.incarnation, false];
 		context.record({ type: 'started', runs: [started] }, now);
 		const added = state.runs.get(runKey(task.name, run));
