Date the proof of a repeated append from its first attempt

An append whose outcome is unknown is repeated with the same sequence number, and the store may answer the repeat with the outcome of the first attempt. That answer says when the first attempt was stored, not that the term was in force when the repeat was sent.

The proof now dates from the first attempt with an unknown outcome. journalWriter.test.ts 'proves the term only since its first attempt' failed before (proof from 1,178 ms instead of 1,050 ms) and passes.

--- a/packages/coordinator/src/node/journal/journalWriter.ts
+++ b/packages/coordinator/src/node/journal/journalWriter.ts
@@ -5,7 +5,7 @@
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import { createAdaptiveTimeout } from '../../common/adaptiveTimeout.js';
 import { termReactions } from '../../common/storeReactions.js';
-import type { TermProof } from '../../common/termProof.js';
+import type { TermConfirmation, TermProof } from '../../common/termProof.js';
 import { encodeEvents } from './journalCodec.js';
 
 /** Name of the idempotent writer. All leaders share it, so that a higher term fences off the lower ones. */
@@ -85,8 +85,10 @@
 		return queuedBatches.splice(0, count < 0 ? queuedBatches.length : count);
 	};
 
-	const appendWithTimeout = async (records: readonly Uint8Array[]): Promise<AppendOutcome> => {
-		const sent = proof.sendTime();
+	const appendWithTimeout = async (
+		records: readonly Uint8Array[],
+		sent: TermConfirmation,
+	): Promise<AppendOutcome> => {
 		lastSentAt = sent.monotonicAt;
 		const answerWithinMs = Math.round(appendTimeout.currentMs);
 		const writer = { name: JOURNAL_WRITER, epoch: term, sequence };
@@ -96,7 +98,6 @@
 			appendTimeout.recordTimeout();
 		} else if (outcome.type === 'appended') {
 			appendTimeout.recordLatency(clock.now() - sent.monotonicAt);
-			proof.confirm(sent);
 		}
 		return outcome;
 	};
@@ -109,12 +110,14 @@
 	const appendBatches = async (batches: readonly Batch[]): Promise<number | 'not-stored' | 'stopped'> => {
 		const records = encodeEvents(batches.flatMap(({ events }) => events));
 		counters.add('journal_bytes_total', {}, records.reduce((sum, record) => sum + record.length, 0));
-		let isUnknown = false;
+		let firstUnknown: TermConfirmation | undefined;
 		while (!signal.aborted) {
-			const sentAt = clock.now();
-			const outcome = await appendWithTimeout(records);
+			const sent = proof.sendTime();
+			const outcome = await appendWithTimeout(records, sent);
 			if (outcome.type === 'appended') {
 				unansweredSince = undefined;
+				// The store may answer a repeated append with the outcome of an earlier attempt.
+				proof.confirm(firstUnknown ?? sent);
 				return outcome.offset;
 			}
 			if (termReactions['write-journal'][outcome.type] === 'lost') {
@@ -122,9 +125,11 @@
 				options.onFenced(`the journal rejected an append as ${outcome.type} in term ${term}`);
 				return 'stopped';
 			}
-			unansweredSince ??= sentAt;
-			isUnknown ||= outcome.type === 'unknown';
-			if (!isUnknown) {
+			unansweredSince ??= sent.monotonicAt;
+			if (outcome.type === 'unknown') {
+				firstUnknown ??= sent;
+			}
+			if (firstUnknown === undefined) {
 				return 'not-stored';
 			}
 			await delay(RETRY_DELAY_MS, signal);
--- a/packages/coordinator/src/test/journalWriter.test.ts
+++ b/packages/coordinator/src/test/journalWriter.test.ts
@@ -45,11 +45,12 @@
 			return outcome;
 		},
 	} as unknown as LogService;
+	const proof = createTermProof(time.clock);
 	const writer = createJournalWriter(
 		{
 			log,
 			term: 3,
-			proof: createTermProof(time.clock),
+			proof,
 			clock: time.clock,
 			counters: createCounters(),
 			appendEveryMs: 12,
@@ -59,7 +60,7 @@
 		},
 		new AbortController().signal,
 	);
-	return { writer, stored, batches, appends: () => appends };
+	return { writer, stored, batches, proof, appends: () => appends };
 }
 
 const refused: AppendOutcome = { type: 'refused', reason: 'busy' };
@@ -114,3 +115,19 @@
 		expect(appends()).toBe(1);
 	});
 });
+
+describe('an append that is repeated because its outcome was unknown', () => {
+	// The store answers a repeat with the outcome of the first attempt, which may be older than the term of a successor.
+	it('proves the term only since its first attempt', async () => {
+		const { writer, batches, proof } = createWriter([unknown, unknown]);
+		const firstSentAt = time.clock.now() + 50;
+		await time.advance(50);
+		writer.add(1, [acceptance('a')]);
+		await time.advance(1_000);
+		expect(batches).toEqual([1]);
+		expect(proof.confirmedAt).toBe(firstSentAt);
+		writer.add(2, [acceptance('b')]);
+		await time.advance(20);
+		expect(proof.confirmedAt).toBe(firstSentAt + 1_000);
+	});
+});
