Prove the term before an answer that callers take as final

What callers saw: a client cancels a job and gets 410, and the job goes on. The daemon that answered had led before; while it was frozen its successor had accepted the job. It wakes, still considers itself the leader, does not know the job and says so at once. A GET had the same gap, and so had refusals.

One table (answerProofs.ts) now names the proof of each answer, which must be newer than the call: a stored batch, or a confirmation of the term by a call to the store that was sent after the caller's. If the term ends first, the daemon that holds the call asks the successor. All callers share the next confirmation, usually an append that is under way anyway; after 30 ms without one the leader record is renewed early. A refusal because the store does not serve the leader is given at once, as before; nothing can prove it.

callLines.test.ts expected the age of a proof from before the call, which no answer has any more: its leader now confirms its term when it is asked to, and the lines must name the age of that confirmation. Ruled out: a lease of the leader over its followers, which would hold up each change of leader; a read for each answer, which callers would not share.

--- a/packages/coordinator/src/common/termProof.ts
+++ b/packages/coordinator/src/common/termProof.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@chestnutwheel/base/common/clock.js';
+import type { Clock, MonotonicTime } from '@chestnutwheel/base/common/clock.js';
 
 /** Send time of an append by which the store confirmed a term. */
 export interface TermConfirmation {
@@ -17,7 +17,16 @@
 	/** Records that the store accepted an append. @param sentAt send time of the append */
 	confirm(sentAt: TermConfirmation): void;
 	/** Send time of the newest confirmed append, on the monotonic clock. */
-	readonly confirmedAt: number;
+	readonly confirmedAt: MonotonicTime;
+	/**
+	 * Resolves with `true` once the store has confirmed the term by a call that was sent at the given time or later. All waiters
+	 * share the next confirmation. Resolves with `false` when the signal is aborted first.
+	 */
+	whenConfirmed(since: MonotonicTime, signal: AbortSignal): Promise<boolean>;
+	/** Resolves when a waiter needs a confirmation, or when the signal is aborted. */
+	whenNeeded(signal: AbortSignal): Promise<void>;
+	/** Earliest time since which a waiter needs a confirmation; `undefined` if none waits. */
+	readonly neededSince: MonotonicTime | undefined;
 	/**
 	 * Returns the time since the newest confirmation, in milliseconds. It is the larger age by the two clocks, because one of
 	 * them may stand still while the process is suspended.
@@ -25,20 +34,72 @@
 	ageMs(): number;
 }
 
+interface Waiter {
+	readonly since: MonotonicTime;
+	readonly settle: (isConfirmed: boolean) => void;
+}
+
 /** Creates the proof of a term that the store has just confirmed. */
 export function createTermProof(clock: Clock): TermProof {
 	const sendTime = (): TermConfirmation => ({ monotonicAt: clock.now(), wallAt: clock.wallNow() });
 	let newest = sendTime();
+	const waiters = new Set<Waiter>();
+	const needListeners = new Set<() => void>();
+
 	return {
 		sendTime,
 		confirm: sentAt => {
-			if (sentAt.monotonicAt > newest.monotonicAt) {
-				newest = sentAt;
+			if (sentAt.monotonicAt <= newest.monotonicAt) {
+				return;
+			}
+			newest = sentAt;
+			for (const waiter of [...waiters]) {
+				if (waiter.since <= newest.monotonicAt) {
+					waiter.settle(true);
+				}
 			}
 		},
 		get confirmedAt() {
 			return newest.monotonicAt;
 		},
+		whenConfirmed: (since, signal) =>
+			new Promise(resolve => {
+				if (signal.aborted || since <= newest.monotonicAt) {
+					resolve(!signal.aborted);
+					return;
+				}
+				const onAbort = (): void => waiter.settle(false);
+				const waiter: Waiter = {
+					since,
+					settle: isConfirmed => {
+						waiters.delete(waiter);
+						signal.removeEventListener('abort', onAbort);
+						resolve(isConfirmed);
+					},
+				};
+				waiters.add(waiter);
+				signal.addEventListener('abort', onAbort, { once: true });
+				[...needListeners].forEach(listener => listener());
+			}),
+		whenNeeded: signal =>
+			new Promise(resolve => {
+				if (signal.aborted || waiters.size > 0) {
+					resolve();
+					return;
+				}
+				const settle = (): void => {
+					needListeners.delete(settle);
+					signal.removeEventListener('abort', settle);
+					resolve();
+				};
+				needListeners.add(settle);
+				signal.addEventListener('abort', settle, { once: true });
+			}),
+		get neededSince() {
+			// Waiters are kept in the order of their calls, and the monotonic clock does not go back.
+			const [first] = waiters;
+			return first?.since;
+		},
 		ageMs: () => Math.max(clock.now() - newest.monotonicAt, clock.wallNow() - newest.wallAt),
 	};
 }
--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import type { FollowerStatus, NotLeader, PeerHandlers } from '../../common/peerProtocol.js';
+import { proveAnswer, proveCount } from './answerProofs.js';
 import { submitOnLeader } from './jobSubmission.js';
 import type { WorkerFeed } from '@chestnutwheel/ports/common/feeds.js';
 import type { LogService } from '@chestnutwheel/ports/common/logService.js';
@@ -67,10 +68,12 @@
 			};
 		},
 		'job.submit': async submission => {
+			const receivedAt = clock.now();
 			const term = await currentTerm();
 			const now = clock.now();
-			if (term !== undefined) {
-				return submitOnLeader(term, submission, now);
+			const result = term === undefined ? undefined : await submitOnLeader(term, submission, receivedAt, now);
+			if (result !== undefined) {
+				return result;
 			}
 			// A job that an earlier leader has received may be in the journal, which this leader has not read yet.
 			if (submission.mayBeStored === true) {
@@ -84,28 +87,36 @@
 			};
 		},
 		'job.cancel': async ({ id, team }) => {
+			const receivedAt = clock.now();
 			const term = await currentTerm();
 			if (term === undefined) {
 				return notLeading();
 			}
 			const decision = term.engine.cancel(id, team, clock.now());
 			term.flush();
-			if (decision.type === 'cancelled') {
-				await term.whenStored(decision.batch);
-			}
-			return { ...decision, decidedBy: decidingLeader(term) };
+			const proof = await proveAnswer(term, decision, { job: id, receivedAt });
+			return proof === 'proven' ? { ...decision, decidedBy: decidingLeader(term) } : notLeading();
 		},
 		'job.state': async ({ id, team }) => {
+			const receivedAt = clock.now();
 			const term = await currentTerm();
 			if (term === undefined) {
 				return notLeading();
 			}
+			const proof = await proveAnswer(term, term.engine.state(id, team), { job: id, receivedAt });
+			if (proof !== 'proven') {
+				return notLeading();
+			}
+			// The job may have been stored meanwhile.
 			const decision = term.engine.state(id, team);
 			return decision.type === 'unknown-job' ? { ...decision, decidedBy: decidingLeader(term) } : decision;
 		},
 		'queue.pending': async ({ queue }) => {
+			const receivedAt = clock.now();
 			const term = await currentTerm();
-			return term === undefined ? notLeading() : { type: 'pending', pending: term.engine.pendingCount(queue) };
+			return term !== undefined && (await proveCount(term, receivedAt)) === 'proven'
+				? { type: 'pending', pending: term.engine.pendingCount(queue) }
+				: notLeading();
 		},
 		'plan.get': () => ({ plan: planCache.current(), waves: planCache.waves() }),
 		'plan.offer': ({ plan: offered }) => {
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import type { Clock } from '@chestnutwheel/base/common/clock.js';
+import type { Clock, MonotonicTime } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { errorMessageOf } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
@@ -62,6 +62,11 @@
 	 * @param batch batch that contains the acceptance
 	 */
 	whenJobStored(job: string, batch: number): Promise<'stored' | 'withdrawn'>;
+	/**
+	 * Resolves with `confirmed` once the store has confirmed the term by a call that was sent at the given time or later, so that
+	 * no successor had begun before; with `not-served` if it has not within the given time, and with `ended` if the term ends.
+	 */
+	whenConfirmed(since: MonotonicTime, withinMs: number): Promise<'confirmed' | 'not-served' | 'ended'>;
 	/** Writes the events and executes the effects that a call of the engine has produced. */
 	flush(): void;
 	/** Resolves with the reason when the term is lost. */
@@ -154,6 +159,17 @@
 		await waitForBatch(batch, undefined);
 	};
 
+	const whenConfirmed: LeaderTerm['whenConfirmed'] = async (since, withinMs) => {
+		const waiting = new AbortController();
+		const ended = AbortSignal.any([signal, waiting.signal]);
+		const isConfirmed = await Promise.race([
+			proof.whenConfirmed(since, ended),
+			delay(withinMs, ended).then(() => false),
+		]);
+		waiting.abort();
+		return signal.aborted ? 'ended' : isConfirmed ? 'confirmed' : 'not-served';
+	};
+
 	/** Refuses the submissions of which no record can have been stored, so that their callers need not wait. */
 	const withdrawUnstoredJobs = (now: number): void => {
 		const withdrawn = new Set<string>();
@@ -338,6 +354,7 @@
 		engine,
 		whenStored,
 		whenJobStored: (job, batch) => waitForBatch(batch, job),
+		whenConfirmed,
 		flush,
 		lost,
 		journal,
--- a/packages/coordinator/src/node/leader/maintainTerm.ts
+++ b/packages/coordinator/src/node/leader/maintainTerm.ts
@@ -22,6 +22,12 @@
 /** Timeout of a renewal of the leader record; a slow store needs 0.3 s and more. */
 const RENEWAL_TIMEOUT_MS = 1_000;
 
+/**
+ * Time for which the confirmation that a caller needs is left to the appends to the journal. The record is renewed early if
+ * there is none.
+ */
+const JOURNAL_CONFIRMATION_MS = 30;
+
 /** Interval between two polls of the predecessor. */
 const PREDECESSOR_POLL_INTERVAL_MS = 300;
 
@@ -190,6 +196,27 @@
 		}
 	};
 
+	/** Resolves when a caller needs a confirmation of the term that the appends to the journal have not given. */
+	const whenConfirmationNeeded = async (ended: AbortSignal): Promise<void> => {
+		while (!ended.aborted) {
+			await proof.whenNeeded(ended);
+			const renewAt = (proof.neededSince ?? clock.now()) + JOURNAL_CONFIRMATION_MS;
+			await delay(Math.max(0, renewAt - clock.now()), ended);
+			if (proof.neededSince !== undefined && clock.now() >= proof.neededSince + JOURNAL_CONFIRMATION_MS) {
+				return;
+			}
+		}
+	};
+
+	/** Waits until the next renewal is due. While the store serves this leader, a caller's need makes it due early. */
+	const awaitRenewal = async (dueAt: number, isStoreServing: boolean): Promise<void> => {
+		const renewed = new AbortController();
+		const ended = AbortSignal.any([running, renewed.signal]);
+		const due = delay(Math.max(0, dueAt - clock.now()), ended);
+		await (isStoreServing ? Promise.race([due, whenConfirmationNeeded(ended)]) : due);
+		renewed.abort();
+	};
+
 	const runRecordRenewal = async (): Promise<TermOutcome> => {
 		while (!running.aborted) {
 			if (!(await renewRecord())) {
@@ -213,7 +240,7 @@
 				return 'stand-aside';
 			}
 			const intervalMs = since === undefined ? settings.beatEveryMs : STORE_SUSPICION_MS / 2;
-			await delay(Math.max(0, renewalSentAt + intervalMs - clock.now()), running);
+			await awaitRenewal(renewalSentAt + intervalMs, since === undefined);
 		}
 		return 'deposed';
 	};
--- a/packages/coordinator/src/test/callLines.test.ts
+++ b/packages/coordinator/src/test/callLines.test.ts
@@ -26,28 +26,35 @@
 
 const decidedBy = { leader: 'front-1', term: 68 };
 
-/** Time since the store confirmed the term, for calls that are answered at once. */
-const PROOF_AGE_MS = 900;
+/** Time since the store confirmed the term when a call comes. */
+const AGE_AT_CALL_MS = 900;
 
-/** The same for a cancel, whose answer waits for the journal, which confirms the term again. */
-const PROOF_AGE_AFTER_STORING_MS = 40;
+/** The same when the call is answered, since the answer waits for a newer confirmation. */
+const PROOF_AGE_MS = 40;
 
 /** Creates the call service of a daemon whose engine answers as the test specifies. */
 function createService(engine: Partial<Engine>, unanswered?: Error) {
 	let now = 10_000;
 	const clock = { now: () => now, wallNow: () => now };
 	const proof = createTermProof(clock);
-	now += PROOF_AGE_MS;
+	now += AGE_AT_CALL_MS;
+	const confirm = (): void => {
+		proof.confirm(proof.sendTime());
+		now += PROOF_AGE_MS;
+	};
 	const term = {
 		identity: { term: 68, entryHost: 'front-1', address: '10.0.0.1:7000' },
 		proof,
 		engine,
 		flush: () => undefined,
 		whenStored: () => {
-			proof.confirm(proof.sendTime());
-			now += PROOF_AGE_AFTER_STORING_MS;
+			confirm();
 			return Promise.resolve();
 		},
+		whenConfirmed: () => {
+			confirm();
+			return Promise.resolve('confirmed');
+		},
 		whenJobStored: () => Promise.resolve('withdrawn'),
 	} as unknown as LeaderTerm;
 	const handlers = idlePeerHandlers({ whenTermBegun: () => Promise.resolve(term), clock });
@@ -86,7 +93,7 @@
 				job: 'a1',
 				answer: 'cancelled',
 				...decidedBy,
-				proofAgeMs: PROOF_AGE_AFTER_STORING_MS,
+				proofAgeMs: PROOF_AGE_MS,
 			},
 		]);
 		expect(counters.value('cancels_total', { answer: 'cancelled' })).toBe(1);
