--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -67,7 +67,7 @@
 	const read = (): Promise<ReadOutcome> => log.read('journal', from, NO_WAIT_MS, signal);
 	let pendingRead: Promise<ReadOutcome> | undefined;
 	while (from < end) {
-		const outcome = await (pendingRead ?? read());
+		const outcome = rejectIncompleteRead(await (pendingRead ?? read()), end);
 		pendingRead = undefined;
 		if (outcome.type === 'expired') {
 			from = outcome.first;
@@ -84,9 +84,6 @@
 		}
 		onBlocked(false);
 		retryDelayMs = FIRST_RETRY_DELAY_MS;
-		if (outcome.records.length === 0) {
-			break;
-		}
 		let offset = from;
 		firstOffset ??= from;
 		from += outcome.records.length;
@@ -111,6 +108,21 @@
 	return { records, bytes, unreadable, firstOffset, endOffset: end, reachedOffset: from, appendLatencyMs };
 }
 
+/**
+ * Turns a read before the end of the journal into a failure if it shows less than the journal holds. A term that begins on a
+ * part of the journal does not know jobs that run, and starts tasks of jobs that are cancelled.
+ * @param end end of the journal when the predecessors were fenced off
+ */
+function rejectIncompleteRead(outcome: ReadOutcome, end: number): ReadOutcome {
+	if (outcome.type === 'records' && outcome.end < end) {
+		return { type: 'failed', reason: `the log ended at ${outcome.end}, before ${end}` };
+	}
+	if (outcome.type === 'records' && outcome.records.length === 0) {
+		return { type: 'failed', reason: `the log returned no records before ${end}` };
+	}
+	return outcome;
+}
+
 /** Applies an event. @returns whether it could be applied; another build or a faulty writer may have written it */
 function applyEvent(event: JournalEvent, offset: number, { onEvent, onSkipped }: TakeoverListener): boolean {
 	try {
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it, vi } from 'vitest';
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
-import type { LogService } from '@chestnutwheel/ports/common/logService.js';
+import type { LogService, ReadOutcome } from '@chestnutwheel/ports/common/logService.js';
 import { encodeEvents } from '../node/journal/journalCodec.js';
 import { createSkippedRecordLog, type SkippedRecord } from '../common/skippedRecordLog.js';
 import { takeOverJournal, type JournalReadResult, type TakeoverListener } from '../node/journal/readJournal.js';
@@ -8,6 +8,9 @@
 const RECORDS_PER_READ = 3;
 const END = 10;
 
+const recordAt = (offset: number): Uint8Array =>
+	encodeEvents([{ type: 'settled', term: offset }])[0] ?? new Uint8Array();
+
 /** A journal of ten records, of which each read returns three. */
 function createLog(reads: number[], onRead: () => void, firstOffset = 0): LogService {
 	return {
@@ -19,10 +22,7 @@
 				return Promise.resolve({ type: 'expired', first: firstOffset });
 			}
 			const count = Math.min(RECORDS_PER_READ, END - from);
-			const records = Array.from(
-				{ length: count },
-				(_, index) => encodeEvents([{ type: 'settled', term: from + index }])[0] ?? new Uint8Array(),
-			);
+			const records = Array.from({ length: count }, (_, index) => recordAt(from + index));
 			return Promise.resolve({ type: 'records', records, end: END });
 		},
 	} as Partial<LogService> as LogService;
@@ -94,6 +94,39 @@
 	});
 });
 
+describe('a takeover of the journal whose reads are not served in full', () => {
+	/** Takes over a journal whose second read has another outcome once. @returns the applied offsets and reported blocks */
+	const takeOverWith = async (second: ReadOutcome) => {
+		const applied: number[] = [];
+		const blocked: boolean[] = [];
+		const served = createLog([], () => undefined);
+		let reads = 0;
+		const read: LogService['read'] = (...parameters) =>
+			++reads === 2 ? Promise.resolve(second) : served.read(...parameters);
+		await takeOver(
+			{ ...served, read },
+			{
+				onEvent: (_event, offset) => applied.push(offset),
+				onBlocked: isBlocked => blocked.push(isBlocked),
+			},
+		);
+		return { applied, blocked };
+	};
+
+	const allOffsets = Array.from({ length: END }, (_, offset) => offset);
+
+	// The term began on the records read so far: it answered "no such job" for jobs that ran, and started cancelled ones.
+	it.each<[string, ReadOutcome]>([
+		['returns no records before the end', { type: 'records', first: 0, end: END, records: [] }],
+		['ends before the fence', { type: 'records', first: 0, end: 5, records: [recordAt(3), recordAt(4)] }],
+	])('repeats a read that %s', async (_name, second) => {
+		const { applied, blocked } = await takeOverWith(second);
+		expect(applied).toEqual(allOffsets);
+		expect(blocked).toContain(true);
+		expect(blocked.at(-1)).toBe(false);
+	});
+});
+
 describe('the log of skipped records', () => {
 	it('has ten lines for each takeover and counts all of them', () => {
 		const counters = createCounters();
