Repeat a read whose answer contradicts the offset that it expired

Callers saw: nothing known; found by reading the code.

Cause: an answer "expired" was followed whatever it named. With a first retained offset below the requested one the replay applied the records from there a second time; with the requested offset itself it asked again at once, as fast as the store answers.

Change: a first retained offset that is not above the requested one counts as a failed read, which is repeated with the back-off; any other answer "expired" counts as served.

Test: three cases failed before (records applied twice, no delay, blocked until the end) and pass now. vitest run readJournal.test.ts: 10 passed.

--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -67,12 +67,8 @@
 	const read = (): Promise<ReadOutcome> => log.read('journal', from, NO_WAIT_MS, signal);
 	let pendingRead: Promise<ReadOutcome> | undefined;
 	while (from < end) {
-		const outcome = rejectIncompleteRead(await (pendingRead ?? read()), end);
+		const outcome = rejectIncompleteRead(await (pendingRead ?? read()), from, end);
 		pendingRead = undefined;
-		if (outcome.type === 'expired') {
-			from = outcome.first;
-			continue;
-		}
 		if (outcome.type === 'failed') {
 			onBlocked(true);
 			await delay(retryDelayMs, signal);
@@ -84,6 +80,10 @@
 		}
 		onBlocked(false);
 		retryDelayMs = FIRST_RETRY_DELAY_MS;
+		if (outcome.type === 'expired') {
+			from = outcome.first;
+			continue;
+		}
 		let offset = from;
 		firstOffset ??= from;
 		from += outcome.records.length;
@@ -113,7 +113,10 @@
  * part of the journal does not know jobs that run, and starts tasks of jobs that are cancelled.
  * @param end end of the journal when the predecessors were fenced off
  */
-function rejectIncompleteRead(outcome: ReadOutcome, end: number): ReadOutcome {
+function rejectIncompleteRead(outcome: ReadOutcome, from: number, end: number): ReadOutcome {
+	if (outcome.type === 'expired' && outcome.first <= from) {
+		return { type: 'failed', reason: `the log retains offset ${outcome.first}, but not ${from}` };
+	}
 	if (outcome.type === 'records' && outcome.end < end) {
 		return { type: 'failed', reason: `the log ended at ${outcome.end}, before ${end}` };
 	}
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -118,6 +118,10 @@
 	// The term began on the records read so far: it answered "no such job" for jobs that ran, and started cancelled ones.
 	it.each<[string, ReadOutcome]>([
 		['returns no records before the end', { type: 'records', first: 0, end: END, records: [] }],
+		// The replay began again at the offset that was named, and applied the records from there a second time.
+		['names an older offset as the first retained one', { type: 'expired', first: 1 }],
+		// The replay went on at once, without a delay between the calls.
+		['names the requested offset as the first retained one', { type: 'expired', first: 3 }],
 		['ends before the fence', { type: 'records', first: 0, end: 5, records: [recordAt(3), recordAt(4)] }],
 	])('repeats a read that %s', async (_name, second) => {
 		const { applied, blocked } = await takeOverWith(second);
@@ -127,6 +131,21 @@
 	});
 });
 
+describe('a takeover of a journal whose records have all expired after a call that failed', () => {
+	// The term counted as not served by the store for as long as it lasted.
+	it('does not stay blocked', async () => {
+		const outcomes: ReadOutcome[] = [{ type: 'failed', reason: 'busy' }];
+		const blocked: boolean[] = [];
+		const log: LogService = {
+			...createLog([], () => undefined),
+			read: () => Promise.resolve(outcomes.shift() ?? { type: 'expired', first: END }),
+		};
+		const { reachedOffset } = await takeOver(log, { onBlocked: isBlocked => blocked.push(isBlocked) });
+		expect(reachedOffset).toBe(END);
+		expect(blocked.at(-1)).toBe(false);
+	});
+});
+
 describe('the log of skipped records', () => {
 	it('has ten lines for each takeover and counts all of them', () => {
 		const counters = createCounters();
