Do not begin a term on the records of a successor

Callers saw: nothing known; found by reading the code.

Cause: the replay applied all records of an answer, also those behind the end that the fence gave. Only a successor can have appended them, so that a leader replaced during its takeover began on its successor's events.

--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -47,7 +47,8 @@
 /**
  * Fences off the journal writers of earlier terms, then replays the journal to its end. Calls that the log does not serve
  * are repeated until the signal is aborted.
- * @throws `log-unavailable` when the signal is aborted first, `not-ready` when a successor has fenced off this term
+ * @throws `log-unavailable` when the signal is aborted first, `not-ready` when a successor has fenced off this term or trimmed
+ * the journal
  */
 export async function takeOverJournal(
 	log: LogService,
@@ -81,15 +82,20 @@
 		onBlocked(false);
 		retryDelayMs = FIRST_RETRY_DELAY_MS;
 		if (outcome.type === 'expired') {
+			if (outcome.first > end) {
+				throw kindError('not-ready', `a term newer than ${term} has trimmed the journal to ${outcome.first}`);
+			}
 			from = outcome.first;
 			continue;
 		}
 		let offset = from;
 		firstOffset ??= from;
-		from += outcome.records.length;
+		// Only a successor can have appended records behind the fence.
+		const ownRecords = outcome.records.slice(0, end - from);
+		from += ownRecords.length;
 		// The next records arrive while these are applied.
 		pendingRead = from < end ? read() : undefined;
-		for (const record of outcome.records) {
+		for (const record of ownRecords) {
 			records++;
 			bytes += record.length;
 			const events = decodeEvents(record);
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -146,6 +146,25 @@
 	});
 });
 
+describe('a takeover of a journal to which a successor has appended since', () => {
+	// A leader that had been replaced during its takeover began on its successor's events, or on no events at all.
+	it('applies no record of the successor', async () => {
+		const applied: number[] = [];
+		const records = Array.from({ length: END + 2 }, (_, offset) => recordAt(offset));
+		const read = (): Promise<ReadOutcome> => Promise.resolve({ type: 'records', first: 0, end: END + 2, records });
+		const log: LogService = { ...createLog([], () => undefined), read };
+		const { reachedOffset } = await takeOver(log, { onEvent: (_event, offset) => applied.push(offset) });
+		expect(applied).toEqual(records.slice(0, END).map((_, offset) => offset));
+		expect(reachedOffset).toBe(END);
+	});
+
+	it('fails if the successor has trimmed the journal past the fence', async () => {
+		const read = (): Promise<ReadOutcome> => Promise.resolve({ type: 'expired', first: END + 1 });
+		const log: LogService = { ...createLog([], () => undefined), read };
+		await expect(takeOver(log)).rejects.toThrow('trimmed');
+	});
+});
+
 describe('the log of skipped records', () => {
 	it('has ten lines for each takeover and counts all of them', () => {
 		const counters = createCounters();
