--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -41,6 +41,11 @@
 export interface TakeoverListener {
 	readonly onEvent: (event: JournalEvent, offset: number) => void;
 	readonly onSkipped: (skipped: SkippedRecord) => void;
+	/**
+	 * Called when records behind those read so far have expired, since a leader of an earlier term may still trim the journal.
+	 * The events applied so far must be discarded: the expired ones may have ended jobs that the retained ones do not name.
+	 */
+	readonly onRestart: (expired: { readonly from: number; readonly first: number }) => void;
 	readonly onBlocked: BlockedListener;
 }
 
@@ -57,7 +62,7 @@
 	listener: TakeoverListener,
 	signal: AbortSignal,
 ): Promise<JournalReadResult> {
-	const { onBlocked, onSkipped } = listener;
+	const { onBlocked, onSkipped, onRestart } = listener;
 	const { end, appendLatencyMs } = await fencePredecessors(log, term, clock, onBlocked, signal);
 	let from = 0;
 	let firstOffset: number | undefined;
@@ -85,6 +90,13 @@
 			if (outcome.first > end) {
 				throw kindError('not-ready', `a term newer than ${term} has trimmed the journal to ${outcome.first}`);
 			}
+			if (firstOffset !== undefined) {
+				onRestart({ from, first: outcome.first });
+				firstOffset = undefined;
+				records = 0;
+				bytes = 0;
+				unreadable = 0;
+			}
 			from = outcome.first;
 			continue;
 		}
--- a/packages/coordinator/src/node/leader/leaderTerm.ts
+++ b/packages/coordinator/src/node/leader/leaderTerm.ts
@@ -87,24 +87,26 @@
 	signal: AbortSignal,
 ): Promise<LeaderTerm> {
 	const { settings, log, clock, counters, logDecision, planCache, proof } = options;
-	const engine = createEngine({
-		settings: settings.engine,
-		counters,
-		logDecision: logDecision,
-		wallNow: () => clock.wallNow(),
-	});
+	const createTermEngine = (): Engine =>
+		createEngine({ settings: settings.engine, counters, logDecision, wallNow: () => clock.wallNow() });
+	let replayingEngine = createTermEngine();
 	const beganAt = clock.now();
 	const journalRead = await takeOverJournal(
 		log,
 		identity.term,
 		clock,
 		{
-			onEvent: (event, offset) => engine.replay(event, offset, clock.now()),
+			onEvent: (event, offset) => replayingEngine.replay(event, offset, clock.now()),
+			onRestart: expired => {
+				logDecision('journal-read-restarted', { term: identity.term, ...expired });
+				replayingEngine = createTermEngine();
+			},
 			onSkipped: createSkippedRecordLog({ term: identity.term, counters, logDecision }),
 			onBlocked: options.onBlocked,
 		},
 		signal,
 	);
+	const engine = replayingEngine;
 	logDecision('journal-read', { term: identity.term, ...journalRead, tookMs: Math.round(clock.now() - beganAt) });
 
 	let loseTerm: (reason: string) => void = () => undefined;
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -292,7 +292,7 @@
 			onFollowerStatus: () => undefined,
 			begin: async (identity, proof, onBlocked, termSignal) => {
 				const ignore = (): undefined => undefined;
-				const listener = { onEvent: ignore, onSkipped: ignore, onBlocked };
+				const listener = { onEvent: ignore, onSkipped: ignore, onRestart: ignore, onBlocked };
 				const read = await takeOverJournal(relayedLog, identity.term, clock, listener, termSignal);
 				const observed = terms.find(({ term }) => term === identity.term);
 				if (observed !== undefined) {
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it, vi } from 'vitest';
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import type { AcceptedJob, JournalEvent } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { LogService, ReadOutcome } from '@chestnutwheel/ports/common/logService.js';
 import { encodeEvents } from '../node/journal/journalCodec.js';
 import { createSkippedRecordLog, type SkippedRecord } from '../common/skippedRecordLog.js';
@@ -32,7 +33,7 @@
 
 const takeOver = (log: LogService, listener: Partial<TakeoverListener> = {}): Promise<JournalReadResult> => {
 	const ignore = (): undefined => undefined;
-	const complete = { onEvent: ignore, onSkipped: ignore, onBlocked: ignore, ...listener };
+	const complete = { onEvent: ignore, onSkipped: ignore, onRestart: ignore, onBlocked: ignore, ...listener };
 	return takeOverJournal(log, 1, clock, complete, new AbortController().signal);
 };
 
@@ -146,6 +147,41 @@
 	});
 });
 
+describe('a takeover of a journal that a former leader trims between two reads', () => {
+	const accepted = (id: string): JournalEvent => ({ type: 'accepted', job: { id } as AcceptedJob });
+	const events: readonly JournalEvent[] = [
+		accepted('a'),
+		{ type: 'cancelled', job: 'a' },
+		{ type: 'forgotten', jobs: ['a'] },
+		accepted('b'),
+	];
+
+	// The job stayed open at the successor, which started it, since its cancel had expired before it was read.
+	it('keeps no event from before the records that have expired', async () => {
+		let applied: JournalEvent[] = [];
+		const onRestart = vi.fn(() => (applied = []));
+		let reads = 0;
+		const { firstOffset, records } = await takeOver(
+			{
+				...createLog([], () => undefined),
+				append: () => Promise.resolve({ type: 'appended', offset: events.length, end: events.length }),
+				read: (_topic, from) => {
+					reads++;
+					return Promise.resolve<ReadOutcome>(
+						from < 3 && reads > 1
+							? { type: 'expired', first: 3 }
+							: { type: 'records', first: 0, end: events.length, records: encodeEvents(events.slice(from, from + 1)) },
+					);
+				},
+			},
+			{ onEvent: event => applied.push(event), onRestart },
+		);
+		expect(applied).toEqual([accepted('b')]);
+		expect(onRestart).toHaveBeenCalledExactlyOnceWith({ from: 1, first: 3 });
+		expect({ firstOffset, records }).toEqual({ firstOffset: 3, records: 1 });
+	});
+});
+
 describe('a takeover of a journal to which a successor has appended since', () => {
 	// A leader that had been replaced during its takeover began on its successor's events, or on no events at all.
 	it('applies no record of the successor', async () => {
