Discard a term whose takeover completes after its end

For every job accepted since, that engine answers "no such job" at once, and its daemon forwards a cancel no further.

Cause: createTermLeader kept the begun term also when the lead had ended before the takeover did, and removed it only at the end of its next lead. A takeover goes on after the end when its last read is answered as the term ends, or when a follower relays its calls, which the end of the term does not abort.

Change: such a takeover fails with not-ready, and its term is never kept.

--- a/packages/coordinator/src/node/leader/leadTerm.ts
+++ b/packages/coordinator/src/node/leader/leadTerm.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import { kindError } from '@chestnutwheel/base/common/kindError.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { TermOutcome } from '../../common/candidacyPause.js';
 import type { LeaderIdentity } from '../../common/peerProtocol.js';
@@ -69,6 +70,9 @@
 			};
 			const begin = async (): Promise<Term> => {
 				const begun = await options.begin(identity, proof, onBlocked, termSignal);
+				if (termSignal.aborted) {
+					throw kindError('not-ready', `term ${identity.term} ended while the journal was taken over`);
+				}
 				term = begun;
 				return begun;
 			};
--- a/packages/coordinator/src/test/leadTerm.test.ts
+++ b/packages/coordinator/src/test/leadTerm.test.ts
@@ -64,6 +64,32 @@
 	});
 });
 
+describe('a takeover of the journal that completes after its term has ended', () => {
+	// Its engine answered "no such job" for all jobs accepted since, until the next term of the daemon had begun.
+	it('leaves no term that answers callers, neither afterwards nor during the next takeover', async () => {
+		const end = new AbortController();
+		const ended = leader.lead(identity, { type: 'none' }, end.signal);
+		const beginLate = begin;
+		end.abort();
+		await time.advance(0);
+		await ended;
+		beginLate();
+		await time.advance(0);
+		expect(await leader.whenBegun(250)).toBeUndefined();
+
+		const next = new AbortController();
+		void leader.lead({ ...identity, term: 2 }, { type: 'none' }, next.signal);
+		const answer = vi.fn();
+		void leader.whenBegun(250).then(answer);
+		await time.advance(100);
+		expect(answer).not.toHaveBeenCalled();
+		begin();
+		await time.advance(0);
+		expect(answer).toHaveBeenCalledWith(begunTerm);
+		next.abort();
+	});
+});
+
 // Each waiting caller asked the new leader again every 25 ms, a thousand times in all before it could start a task.
 describe('a call that arrives while the journal is being taken over', () => {
 	const lead = (): AbortController => {
