Do not count an ended takeover as blocked

Callers saw: nothing known; found by reading the code.

Cause: the end of a term aborts the calls of its takeover, which then fail. The failure was recorded as a store that does not serve the takeover, after the end of the lead had cleared that state. The daemon told callers of a blocked takeover while it followed, and its next term counted as not served since then until its first call succeeded.

Change: failures after the end of the term are not recorded.

--- a/packages/coordinator/src/node/leader/leadTerm.ts
+++ b/packages/coordinator/src/node/leader/leadTerm.ts
@@ -63,6 +63,9 @@
 			failure = new AbortController();
 			const proof = createTermProof(clock);
 			const onBlocked: BlockedListener = isBlocked => {
+				if (termSignal.aborted) {
+					return;
+				}
 				if (isBlocked && blockedSince === undefined) {
 					logDecision('term-blocked', { term: identity.term });
 				}
--- a/packages/coordinator/src/test/leadTerm.test.ts
+++ b/packages/coordinator/src/test/leadTerm.test.ts
@@ -90,6 +90,19 @@
 	});
 });
 
+describe('a takeover of the journal whose call fails as its term ends', () => {
+	// The daemon reported a blocked takeover while it followed, and its next term counted as not served since then.
+	it('does not count as blocked', async () => {
+		const end = new AbortController();
+		const ended = leader.lead(identity, { type: 'none' }, end.signal);
+		end.abort();
+		await time.advance(0);
+		await ended;
+		block(true);
+		expect(leader.blockedSince()).toBeUndefined();
+	});
+});
+
 // Each waiting caller asked the new leader again every 25 ms, a thousand times in all before it could start a task.
 describe('a call that arrives while the journal is being taken over', () => {
 	const lead = (): AbortController => {
