--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -71,17 +71,22 @@
 	let unreadable = 0;
 	let retryDelayMs = FIRST_RETRY_DELAY_MS;
 	const read = (): Promise<ReadOutcome> => log.read('journal', from, NO_WAIT_MS, signal);
+	const throwIfEnded = (reason: string): void => {
+		if (signal.aborted) {
+			throw kindError('log-unavailable', `the journal was not read before the term ended: ${reason}`);
+		}
+	};
 	let pendingRead: Promise<ReadOutcome> | undefined;
 	while (from < end) {
 		const outcome = rejectIncompleteRead(await (pendingRead ?? read()), from, end);
 		pendingRead = undefined;
+		// A read through a follower is answered although the signal is aborted.
+		throwIfEnded(outcome.type === 'failed' ? outcome.reason : 'a read took too long');
 		if (outcome.type === 'failed') {
 			onBlocked(true);
 			await delay(retryDelayMs, signal);
 			retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * retryDelayMs);
-			if (signal.aborted) {
-				throw kindError('log-unavailable', `the journal was not read before the term ended: ${outcome.reason}`);
-			}
+			throwIfEnded(outcome.reason);
 			continue;
 		}
 		onBlocked(false);
--- a/packages/coordinator/src/test/readJournal.test.ts
+++ b/packages/coordinator/src/test/readJournal.test.ts
@@ -31,10 +31,14 @@
 
 const clock = { now: () => 0, wallNow: () => 0 };
 
-const takeOver = (log: LogService, listener: Partial<TakeoverListener> = {}): Promise<JournalReadResult> => {
+const takeOver = (
+	log: LogService,
+	listener: Partial<TakeoverListener> = {},
+	{ signal } = new AbortController(),
+): Promise<JournalReadResult> => {
 	const ignore = (): undefined => undefined;
 	const complete = { onEvent: ignore, onSkipped: ignore, onRestart: ignore, onBlocked: ignore, ...listener };
-	return takeOverJournal(log, 1, clock, complete, new AbortController().signal);
+	return takeOverJournal(log, 1, clock, complete, signal);
 };
 
 describe('the takeover of the journal', () => {
@@ -147,6 +151,21 @@
 	});
 });
 
+describe('a takeover of the journal whose term ends while a follower relays its reads', () => {
+	// The relayed reads went on to the end of the journal, and the takeover of the ended term completed.
+	it('fails and applies nothing more', async () => {
+		const controller = new AbortController();
+		const applied: number[] = [];
+		const log = createLog([], () => undefined);
+		const onEvent = (_event: JournalEvent, offset: number): void => {
+			applied.push(offset);
+			controller.abort();
+		};
+		await expect(takeOver(log, { onEvent }, controller)).rejects.toThrow('before the term ended');
+		expect(applied).toEqual([0, 1, 2]);
+	});
+});
+
 describe('a takeover of a journal that a former leader trims between two reads', () => {
 	const accepted = (id: string): JournalEvent => ({ type: 'accepted', job: { id } as AcceptedJob });
 	const events: readonly JournalEvent[] = [
