--- a/packages/coordinator/src/node/journal/readJournal.ts
+++ b/packages/coordinator/src/node/journal/readJournal.ts
@@ -41,13 +41,19 @@
 export interface TakeoverListener {
 	readonly onEvent: (event: JournalEvent, offset: number) => void;
 	readonly onSkipped: (skipped: SkippedRecord) => void;
+	/**
+	 * Called when records behind those read so far have expired, since a leader of an earlier term may still trim the journal.
+	 * The events applied so far must be discarded: the expired ones may have ended jobs that the retained ones do not name.
+	 */
+	readonly onRestart: (expired: { readonly from: number; readonly first: number }) => void;
 	readonly onBlocked: BlockedListener;
 }
 
 /**
  * Fences off the journal writers of earlier terms, then replays the journal to its end. Calls that the log does not serve
  * are repeated until the signal is aborted.
- * @throws `log-unavailable` when the signal is aborted first, `not-ready` when a successor has fenced off this term
+ * @throws `log-unavailable` when the signal is aborted first, `not-ready` when a successor has fenced off this term or trimmed
+ * the journal
  */
 export async function takeOverJournal(
 	log: LogService,
@@ -56,7 +62,7 @@
 	listener: TakeoverListener,
 	signal: AbortSignal,
 ): Promise<JournalReadResult> {
-	const { onBlocked, onSkipped } = listener;
+	const { onBlocked, onSkipped, onRestart } = listener;
 	const { end, appendLatencyMs } = await fencePredecessors(log, term, clock, onBlocked, signal);
 	let from = 0;
 	let firstOffset: number | undefined;
@@ -65,34 +71,48 @@
 	let unreadable = 0;
 	let retryDelayMs = FIRST_RETRY_DELAY_MS;
 	const read = (): Promise<ReadOutcome> => log.read('journal', from, NO_WAIT_MS, signal);
+	const throwIfEnded = (reason: string): void => {
+		if (signal.aborted) {
+			throw kindError('log-unavailable', `the journal was not read before the term ended: ${reason}`);
+		}
+	};
 	let pendingRead: Promise<ReadOutcome> | undefined;
 	while (from < end) {
-		const outcome = await (pendingRead ?? read());
+		const outcome = rejectIncompleteRead(await (pendingRead ?? read()), from, end);
 		pendingRead = undefined;
-		if (outcome.type === 'expired') {
-			from = outcome.first;
-			continue;
-		}
+		// A read through a follower is answered although the signal is aborted.
+		throwIfEnded(outcome.type === 'failed' ? outcome.reason : 'a read took too long');
 		if (outcome.type === 'failed') {
 			onBlocked(true);
 			await delay(retryDelayMs, signal);
 			retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * retryDelayMs);
-			if (signal.aborted) {
-				throw kindError('log-unavailable', `the journal was not read before the term ended: ${outcome.reason}`);
-			}
+			throwIfEnded(outcome.reason);
 			continue;
 		}
 		onBlocked(false);
 		retryDelayMs = FIRST_RETRY_DELAY_MS;
-		if (outcome.records.length === 0) {
-			break;
+		if (outcome.type === 'expired') {
+			if (outcome.first > end) {
+				throw kindError('not-ready', `a term newer than ${term} has trimmed the journal to ${outcome.first}`);
+			}
+			if (firstOffset !== undefined) {
+				onRestart({ from, first: outcome.first });
+				firstOffset = undefined;
+				records = 0;
+				bytes = 0;
+				unreadable = 0;
+			}
+			from = outcome.first;
+			continue;
 		}
 		let offset = from;
 		firstOffset ??= from;
-		from += outcome.records.length;
+		// Only a successor can have appended records behind the fence.
+		const ownRecords = outcome.records.slice(0, end - from);
+		from += ownRecords.length;
 		// The next records arrive while these are applied.
 		pendingRead = from < end ? read() : undefined;
-		for (const record of outcome.records) {
+		for (const record of ownRecords) {
 			records++;
 			bytes += record.length;
 			const events = decodeEvents(record);
@@ -111,6 +131,24 @@
 	return { records, bytes, unreadable, firstOffset, endOffset: end, reachedOffset: from, appendLatencyMs };
 }
 
+/**
+ * Turns a read before the end of the journal into a failure if it shows less than the journal holds. A term that begins on a
+ * part of the journal does not know jobs that run, and starts tasks of jobs that are cancelled.
+ * @param end end of the journal when the predecessors were fenced off
+ */
+function rejectIncompleteRead(outcome: ReadOutcome, from: number, end: number): ReadOutcome {
+	if (outcome.type === 'expired' && outcome.first <= from) {
+		return { type: 'failed', reason: `the log retains offset ${outcome.first}, but not ${from}` };
+	}
+	if (outcome.type === 'records' && outcome.end < end) {
+		return { type: 'failed', reason: `the log ended at ${outcome.end}, before ${end}` };
+	}
+	if (outcome.type === 'records' && outcome.records.length === 0) {
+		return { type: 'failed', reason: `the log returned no records before ${end}` };
+	}
+	return outcome;
+}
+
 /** Applies an event. @returns whether it could be applied; another build or a faulty writer may have written it */
 function applyEvent(event: JournalEvent, offset: number, { onEvent, onSkipped }: TakeoverListener): boolean {
 	try {
