Cancel jobs whose submission comes after their cancel

A client that got no answer to a submission cancelled the job, and got 410 since the leader did not know it. The submission arrived later, from a daemon that was frozen or repeated its call, which it does for up to ten seconds: the job was accepted and all its tasks started. The answer 410 was also given at once, so that a leader that had been replaced could give it for a job of its successor.

A submission by the same team is accepted and cancelled in one batch. The client still gets 410, and the job has no state until it is submitted. The record gives the time left instead of a wall-clock time, because the clocks of two hosts differ and may jump. Leaders of earlier versions skip the event and would start the job.

A cancel that is not recorded is noticed by cancelBeforeSubmission, not by fleetModel, whose checker reads stored events.

--- a/packages/coordinator/src/node/entry/peerHandlers.ts
+++ b/packages/coordinator/src/node/entry/peerHandlers.ts
@@ -89,9 +89,8 @@
 			}
 			const decision = term.engine.cancel(id, team, clock.now());
 			term.flush();
-			if (decision.type === 'cancelled') {
-				await term.whenStored(decision.batch);
-			}
+			// A leader that has been replaced cannot store the batch, and does not know which jobs its successor has accepted.
+			await term.whenStored(decision.batch);
 			return decision;
 		},
 		'job.state': async ({ id, team }) => (await currentTerm())?.engine.state(id, team) ?? notLeading(),
--- a/packages/engine/src/common/engineContext.ts
+++ b/packages/engine/src/common/engineContext.ts
@@ -2,6 +2,7 @@
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
 import { createAdviceRegistry, type AdviceRegistry } from './scheduling/adviceRegistry.js';
 import type { EngineEffect, EngineSettings, DecisionLogger } from './engineMessages.js';
+import { createEarlyCancels, type EarlyCancels } from './jobs/earlyCancels.js';
 import type { Job, Step, TaskRun } from './jobs/job.js';
 import { createJobTable, type JobTable } from './jobs/jobTable.js';
 import {
@@ -48,6 +49,7 @@
 /** State and services shared by the components of an engine. */
 export interface EngineContext extends EngineOptions {
 	readonly jobs: JobTable;
+	readonly earlyCancels: EarlyCancels;
 	readonly workers: WorkerTable;
 	readonly hosts: HostRegistry;
 	/** Stamps of the earlier leaders. */
@@ -207,6 +209,7 @@
 		initialJobTimes,
 	);
 
+	const earlyCancels = createEarlyCancels(options.counters);
 	const hosts = createHostRegistry();
 	const leaderStamps = createLeaderStamps();
 
@@ -227,6 +230,9 @@
 		if (event.type === 'learned' && context.term === undefined) {
 			durations.restore(event.queues);
 		}
+		if (event.type === 'cancelled-early') {
+			earlyCancels.add(event.cancels, now);
+		}
 		if (isHostEvent(event)) {
 			hosts.apply(event, offset, now);
 		} else {
@@ -237,6 +243,7 @@
 	const context: EngineContext = {
 		...options,
 		jobs,
+		earlyCancels,
 		workers,
 		teamUsage,
 		durations,
--- a/packages/engine/src/common/engineMessages.ts
+++ b/packages/engine/src/common/engineMessages.ts
@@ -98,7 +98,10 @@
 	| { readonly type: 'refused'; readonly kind: SubmitRefusal; readonly reason: string; readonly retryAfterMs: number };
 
 /** Outcome of a cancellation. The caller may be answered only after `batch` is stored. */
-export type CancelDecision = { readonly type: 'cancelled'; readonly batch: number } | { readonly type: 'unknown-job' };
+export type CancelDecision =
+	| { readonly type: 'cancelled'; readonly batch: number }
+	/** No such job is known. A submission of it that arrives later is cancelled. */
+	| { readonly type: 'unknown-job'; readonly batch: number };
 
 /** State of a job as reported to callers. */
 export type StateDecision = { readonly type: 'state'; readonly state: JobState } | { readonly type: 'unknown-job' };
--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -15,6 +15,7 @@
 import { longestPath, remainingCriticalPaths } from '../scheduling/criticalPath.js';
 import { effectiveDemand } from '../scheduling/placement.js';
 import { checkJobSpec } from './checkJobSpec.js';
+import { EARLY_CANCEL_KEPT_MS } from './earlyCancels.js';
 import { STALL_RETRY_MS } from './journalStall.js';
 import type { RunTerminator } from './runTerminator.js';
 import type { InternalJobState, Job } from './job.js';
@@ -24,14 +25,20 @@
 
 /** Decides the requests of callers on the leader. */
 export interface JobRequestHandler {
-	/** Accepts or refuses a job. A repeated submission of an accepted job is accepted again. */
+	/**
+	 * Accepts or refuses a job. A repeated submission of an accepted job is accepted again. A job that its team has cancelled
+	 * before is accepted and cancelled at once.
+	 */
 	submit(submission: Submission, now: number): SubmitDecision;
 	/**
 	 * Removes a job of which no record can have been stored, and which has therefore neither started nor been acknowledged.
 	 * The caller must also withdraw its acceptance from the journal and its start orders.
 	 */
 	withdraw(id: string, now: number): void;
-	/** Cancels an open job and stops its runs. @param team the caller's team; `undefined` for an open queue */
+	/**
+	 * Cancels an open job and stops its runs. The cancel of an unknown job is recorded for its submission, which may come later.
+	 * @param team the caller's team; `undefined` for an open queue
+	 */
 	cancel(id: string, team: string | undefined, now: number): CancelDecision;
 	/** Returns the state of a job as far as the journal has stored it. */
 	state(id: string, team: string | undefined): StateDecision;
@@ -41,7 +48,7 @@
 
 /** Creates the handler of caller requests of an engine. */
 export function createJobRequestHandler(context: EngineContext, runTerminator: RunTerminator): JobRequestHandler {
-	const { jobs, workers, counters, settings, logDecision } = context;
+	const { jobs, earlyCancels, workers, counters, settings, logDecision } = context;
 	const admission = createAdmissionController();
 
 	const refuse = (submission: Submission, kind: SubmitRefusal, reason: string, retryAfterMs = 0): SubmitDecision => {
@@ -136,6 +143,14 @@
 		return job === undefined || job.accepted.team !== team ? undefined : job;
 	};
 
+	const cancelJob = (job: Job, now: number): void => {
+		const { id, queue } = job.accepted;
+		context.record({ type: 'cancelled', job: id }, now);
+		counters.add('jobs_cancelled_total', { queue });
+		logDecision('job-cancelled', { job: id });
+		runTerminator.stopJob(job, 'cancelled');
+	};
+
 	return {
 		submit: (submission, now) => {
 			const { id, queue: name, team, spec } = submission;
@@ -165,7 +180,8 @@
 			if (problem !== undefined) {
 				return refuse(submission, 'bad-request', problem);
 			}
-			if (context.openJobCount >= settings.maximumOpenJobs) {
+			const isCancelled = earlyCancels.has(id, team, now);
+			if (!isCancelled && context.openJobCount >= settings.maximumOpenJobs) {
 				return refuse(
 					submission,
 					'overloaded',
@@ -182,7 +198,7 @@
 					STALL_RETRY_MS,
 				);
 			}
-			const retryAfterMs = admissionRetryDelay(submission, queue, now);
+			const retryAfterMs = isCancelled ? undefined : admissionRetryDelay(submission, queue, now);
 			if (retryAfterMs !== undefined) {
 				return refuse(
 					submission,
@@ -202,9 +218,13 @@
 				job.acceptedBatch = context.nextBatch;
 				context.unstoredJobs.push(job);
 			}
-			recordArrival(pool, name, spec, now);
 			counters.add('jobs_accepted_total', { queue: name });
 			logDecision('job-accepted', { job: id, queue: name, team, steps: spec.steps.length, plan: context.plan.version });
+			if (!isCancelled) {
+				recordArrival(pool, name, spec, now);
+			} else if (job !== undefined) {
+				cancelJob(job, now);
+			}
 			return { type: 'accepted', batch: context.nextBatch };
 		},
 		withdraw: (id, now) => {
@@ -232,13 +252,11 @@
 		cancel: (id, team, now) => {
 			const job = findJob(id, team);
 			if (job === undefined) {
-				return { type: 'unknown-job' };
+				context.record({ type: 'cancelled-early', cancels: [[id, team ?? '', EARLY_CANCEL_KEPT_MS]] }, now);
+				return { type: 'unknown-job', batch: context.nextBatch };
 			}
 			if (job.state === 'open') {
-				context.record({ type: 'cancelled', job: id }, now);
-				counters.add('jobs_cancelled_total', { queue: job.accepted.queue });
-				logDecision('job-cancelled', { job: id });
-				runTerminator.stopJob(job, 'cancelled');
+				cancelJob(job, now);
 			}
 			return { type: 'cancelled', batch: Math.max(job.acceptedBatch, job.stateBatch) };
 		},
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -305,6 +305,7 @@
 				endJob(job, 'cancelled', now);
 			}
 		},
+		'cancelled-early': () => undefined,
 		failed: ({ job: id }, _offset, now) => {
 			const job = jobs.get(id);
 			if (job !== undefined) {
--- a/packages/engine/src/common/jobs/journalCompaction.ts
+++ b/packages/engine/src/common/jobs/journalCompaction.ts
@@ -15,10 +15,13 @@
 /** Number of closed jobs rewritten per slice; each takes about 70 bytes. */
 const CLOSED_JOBS_PER_SLICE = 500;
 
+/** Number of early cancels per event, which bounds the size of its record; each takes about 40 bytes. */
+const EARLY_CANCELS_PER_EVENT = 1_000;
+
 /** Minimum growth of the journal before a compaction; this much takes some tens of milliseconds to read. */
 const MINIMUM_GROWTH_WEIGHT = 1_000;
 
-/** Weight of a closed job in a compacted journal. */
+/** Weight of a closed job or an early cancel in a compacted journal. */
 const CLOSED_JOB_WEIGHT = 0.2;
 
 /**
@@ -37,7 +40,7 @@
 
 /** Creates the journal compaction of an engine. */
 export function createJournalCompaction(context: EngineContext): JournalCompaction {
-	const { jobs, settings } = context;
+	const { jobs, earlyCancels, settings } = context;
 	/** Rewritten state whose batches are not stored yet, in order. */
 	const unstoredSnapshots: { readonly job: Job | 'term'; readonly batch: number }[] = [];
 	/** Offset of the newest record of this term, which the next leader must read. */
@@ -59,7 +62,7 @@
 	};
 
 	const liveWeight = (): number => {
-		let weight = 0;
+		let weight = CLOSED_JOB_WEIGHT * earlyCancels.size;
 		for (const job of jobs.all()) {
 			weight +=
 				job.state === 'open' ? 1 + job.spec.steps.reduce((sum, { count }) => sum + count, 0) : CLOSED_JOB_WEIGHT;
@@ -69,7 +72,8 @@
 
 	const runMaintenance = (now: number): void => {
 		const forgotten: string[] = [];
-		let hasExpiringRecord = false;
+		earlyCancels.removeExpired(now);
+		let hasExpiringRecord = earlyCancels.hasRecordBefore(now - settings.rewriteAfterMs);
 		for (const job of jobs.all()) {
 			if (job.occurrences.size > 0) {
 				jobs.releaseTasks(job);
@@ -97,12 +101,21 @@
 		context.recordTermBegin(now);
 		context.record({ type: 'settled', term: context.term ?? 0 }, now);
 		context.record({ type: 'learned', queues: context.durations.exportStatistics() }, now);
+		recordEarlyCancels(now);
 		unstoredSnapshots.push({ job: 'term', batch: context.nextBatch });
 		context.hosts.isRewriteDue = true;
 		jobsToRewrite = [...jobs.all()];
 		weightAtCompaction = context.journalWeight;
 	};
 
+	/** Writes the early cancels into the batch of the term, before whose offset the journal is trimmed. */
+	const recordEarlyCancels = (now: number): void => {
+		const cancels = earlyCancels.current(now);
+		for (let first = 0; first < cancels.length; first += EARLY_CANCELS_PER_EVENT) {
+			context.record({ type: 'cancelled-early', cancels: cancels.slice(first, first + EARLY_CANCELS_PER_EVENT) }, now);
+		}
+	};
+
 	/**
 	 * Whether the job still exists and its acceptance is stored; other jobs get their snapshot offset with the
 	 * acceptance.
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -68,6 +68,17 @@
 	acceptedAt: number,
 ];
 
+/**
+ * A cancel of a job that its leader did not know, and the time in milliseconds for which a reader of the record remembers it.
+ * The time begins when the record is read, since a successor cannot tell how long ago it was written.
+ */
+export type EarlyCancel = readonly [
+	job: string,
+	/** Empty for a caller of an open queue. */
+	team: string,
+	keptMs: number,
+];
+
 /** Duration statistics of a queue, on the logarithmic scale; see `durationEstimator.ts`. */
 export interface QueueStatistics {
 	readonly queue: string;
@@ -165,6 +176,11 @@
 	/** Runs that are proven not to execute and whose end is unknown. */
 	| { readonly type: 'dropped'; readonly runs: readonly DroppedRun[] }
 	| { readonly type: 'cancelled'; readonly job: string }
+	/**
+	 * Jobs were cancelled that their leader did not know; submissions that arrive later are cancelled. Leaders of versions that
+	 * lack this event skip it and count it as unreadable; they start such a job.
+	 */
+	| { readonly type: 'cancelled-early'; readonly cancels: readonly EarlyCancel[] }
 	/** A task of the job has used up the attempts that its queue allows, or crashes the workers that start it. */
 	| { readonly type: 'failed'; readonly job: string }
 	/** The retention period of the job states has expired. */
--- a/packages/engine/src/test/fleetChecker.ts
+++ b/packages/engine/src/test/fleetChecker.ts
@@ -41,6 +41,8 @@
 	const lateStartCounts = new Map<string, number>();
 	const cancelledAt = new Map<string, number>();
 	const acceptedJobs = new Set<string>();
+	/** Jobs whose cancel was stored before their acceptance. */
+	const cancelledEarly = new Set<string>();
 
 	const reportViolation = (text: string): void => {
 		if (violations.length < 20) {
@@ -92,6 +94,9 @@
 					}
 				}
 			}
+			if (cancelledEarly.has(parsedTask.job)) {
+				reportViolation(`${at}: ${task} starts although its job was cancelled before it was submitted`);
+			}
 			const cancelled = cancelledAt.get(parsedTask.job);
 			if (cancelled !== undefined && at > cancelled + CANCEL_GRACE_MS) {
 				reportViolation(`${at}: ${task} starts ${at - cancelled} ms after its job was cancelled`);
@@ -134,6 +139,10 @@
 				if (event.type === 'failed' && !mayFail(event.job)) {
 					reportViolation(`${now}: failed: job ${event.job} fails without cause`);
 				}
+				if (event.type === 'cancelled-early') {
+					const unknown = event.cancels.map(([job]) => job).filter(job => !acceptedJobs.has(job));
+					unknown.forEach(job => cancelledEarly.add(job));
+				}
 				if (event.type === 'cancelled') {
 					cancelledAt.set(event.job, now);
 				}
--- a/packages/engine/src/test/fleetModel.test.ts
+++ b/packages/engine/src/test/fleetModel.test.ts
@@ -110,7 +110,15 @@
 const noFaults: ModelFaults = { answerLossRate: 0, delayedExecutionRate: 0 };
 
 type Incident =
-	'crash' | 'cut' | 'leader-killed' | 'leader-deposed' | 'store-outage' | 'reborn-behind-cut' | 'cancel' | 'lapse';
+	| 'crash'
+	| 'cut'
+	| 'leader-killed'
+	| 'leader-deposed'
+	| 'store-outage'
+	| 'reborn-behind-cut'
+	| 'cancel'
+	| 'early-cancel'
+	| 'lapse';
 
 /** Runs 14 s of model time with randomly submitted jobs and the given incidents. */
 function runHistory(
@@ -170,6 +178,11 @@
 			}
 		},
 		cancel: () => model.cancel(`a${Math.max(0, submittedJobs - 2)}`),
+		// One of the next jobs, of which the team is not known yet.
+		'early-cancel': () => {
+			const number = submittedJobs + random.nextInteger(10);
+			['a', 'b'].forEach(team => model.cancel(`${team}${number}`));
+		},
 		lapse: () => {
 			model.workers.forEach(worker => model.setPartitioned(worker.name, true));
 			delayed.push({
@@ -333,6 +346,26 @@
 		},
 	);
 
+	const earlyCancelHistories = Math.ceil(histories / 2);
+	it(
+		`starts nothing of a job that was cancelled before its submission in ${earlyCancelHistories} histories`,
+		{ timeout: 3_600_000 },
+		() => {
+			const types: readonly Incident[] = ['early-cancel', 'leader-killed', 'leader-deposed', 'store-outage'];
+			const incident = fc.record({ type: fc.constantFrom(...types), at: fc.integer({ min: 0, max: 9_000 }) });
+			fc.assert(
+				fc.property(
+					fc.integer({ min: 0, max: 1_000_000 }),
+					fc.array(incident, { minLength: 4, maxLength: 12 }),
+					(seed, incidents) => {
+						expect(runHistory(seed, incidents, noFaults).checker.violations).toEqual([]);
+					},
+				),
+				{ numRuns: earlyCancelHistories, seed: Number(process.env.FLEET_SEED ?? 20_261_204) },
+			);
+		},
+	);
+
 	const crashHistories = Math.ceil(histories / 2);
 	it(
 		`limits the crashes by one task in ${crashHistories} histories with random incidents`,
