Keep the cancel of a job that is withdrawn

The cancel of such a job is now recorded like that of an unknown one.

The new test of journalStall.test.ts failed with two starts; it tries the leader itself and a successor. With the record left out, the test fails.

--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -251,8 +251,11 @@
 		},
 		cancel: (id, team, now) => {
 			const job = findJob(id, team);
-			if (job === undefined) {
+			// A job whose acceptance is not stored may still be withdrawn, and then be submitted again.
+			if (job === undefined || job.acceptedBatch > context.lastStoredBatch) {
 				context.record({ type: 'cancelled-early', cancels: [[id, team ?? '', EARLY_CANCEL_KEPT_MS]] }, now);
+			}
+			if (job === undefined) {
 				return { type: 'unknown-job', batch: context.nextBatch };
 			}
 			if (job.state === 'open') {
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -177,8 +177,8 @@
 	| { readonly type: 'dropped'; readonly runs: readonly DroppedRun[] }
 	| { readonly type: 'cancelled'; readonly job: string }
 	/**
-	 * Jobs were cancelled that their leader did not know; submissions that arrive later are cancelled. Leaders of versions that
-	 * lack this event skip it and count it as unreadable; they start such a job.
+	 * Jobs were cancelled that their leader did not know or had not stored; submissions that arrive later are cancelled. Leaders
+	 * of versions that lack this event skip it and count it as unreadable; they start such a job.
 	 */
 	| { readonly type: 'cancelled-early'; readonly cancels: readonly EarlyCancel[] }
 	/** A task of the job has used up the attempts that its queue allows, or crashes the workers that start it. */
--- a/packages/engine/src/test/journalStall.test.ts
+++ b/packages/engine/src/test/journalStall.test.ts
@@ -1,11 +1,14 @@
 import { describe, expect, it } from 'vitest';
+import type { JournalEvent } from '../common/jobs/journalEvent.js';
 import { createEngineHarness, harnessJob, harnessQueue, harnessStep, type EngineHarness } from './engineHarness.js';
+import { readStoredJournal } from './storedJournal.js';
 
-/** A pool with one worker, and an open queue. */
-function createHarness(): EngineHarness {
+/** A pool with one worker, and an open queue. @param journal records of earlier leaders */
+function createHarness(journal: readonly JournalEvent[] = []): EngineHarness {
 	const harness = createEngineHarness({
 		pools: [{ name: 'desk', isStandby: false, guardsRoom: false }],
 		queues: [harnessQueue('desk')],
+		journal,
 	});
 	const worker = harness.addWorker('w1', 'desk');
 	harness.pollWorker(worker);
@@ -46,4 +49,22 @@
 		harness.advance(20);
 		expect(harness.takeEffects().filter(({ type }) => type === 'start')).toHaveLength(2);
 	});
+
+	// The withdrawal left nothing of the cancel, and a repeated submission started all tasks of the job.
+	it('start nothing if they were cancelled before they are withdrawn, and submitted again', () => {
+		const harness = createHarness();
+		harness.setJournalAvailable(false);
+		harness.submit('a', 'desk', job);
+		expect(harness.engine.cancel('a', undefined, harness.now).type).toBe('cancelled');
+		harness.engine.withdraw('a', harness.now);
+		harness.setJournalAvailable(true);
+		expect(harness.engine.state('a', undefined)).toEqual({ type: 'unknown-job' });
+		const journal = harness.journal.filter(({ type }) => type !== 'accepted');
+		for (const leader of [harness, createHarness(readStoredJournal(journal, 0))]) {
+			expect(leader.submit('a', 'desk', job).type).toBe('accepted');
+			leader.advance(100);
+			expect(leader.takeEffects().filter(({ type }) => type === 'start')).toEqual([]);
+			expect(leader.engine.state('a', undefined)).toEqual({ type: 'state', state: 'cancelled' });
+		}
+	});
 });
