Test the compaction of more early cancels than fit into an event

No test noticed when a compaction wrote only the first 1,000 cancels of unknown jobs. cancelBeforeSubmission.test.ts: 13 passed; with only the first event written, the new test fails.

--- a/packages/engine/src/test/cancelBeforeSubmission.test.ts
+++ b/packages/engine/src/test/cancelBeforeSubmission.test.ts
@@ -149,6 +149,19 @@
 		expect(leader.journal.filter(({ type }) => type === 'cancelled-early')).toHaveLength(rewritten);
 	});
 
+	// A compaction writes a limited number of cancels into each record.
+	it('is one of many that a successor still knows after a compaction', () => {
+		const leader = createLeader();
+		const ids = Array.from({ length: 2_500 }, (_, number) => number.toString(16).padStart(16, '0'));
+		ids.forEach(each => leader.engine.cancel(each, undefined, leader.now));
+		leader.advance(10_000);
+		const successor = succeed(leader);
+		for (const each of ids) {
+			expect(successor.submit(each, 'desk', job).type).toBe('accepted');
+			expect(successor.engine.state(each, undefined)).toEqual({ type: 'state', state: 'cancelled' });
+		}
+	});
+
 	it('causes no compaction after that minute', () => {
 		const leader = createLeader();
 		const compactionCount = (): number => leader.journal.filter(({ type }) => type === 'learned').length;
