Merge early cancels

The answer to a cancel of an unknown job now stands behind its batch, like that to any other cancel, so that its row leaves answerProofs.test.ts: cancelAcknowledgement.test.ts has both of its cases, the answer before the batch is stored and the end of the term.

--- a/packages/coordinator/src/node/entry/answerProofs.ts
+++ b/packages/coordinator/src/node/entry/answerProofs.ts
@@ -42,6 +42,11 @@
 	return outcome === 'confirmed' ? 'proven' : outcome;
 };
 
+const proveBatch = async (term: Pick<LeaderTerm, 'whenStored'>, batch: number): Promise<ProofOutcome> => {
+	await term.whenStored(batch);
+	return 'proven';
+};
+
 type RefusalProof = (term: ProvingTerm, call: JobCall) => Promise<ProofOutcome>;
 
 const confirmedRefusal: RefusalProof = (term, call) => proveTerm(term, call, JOURNAL_STALL_MS);
@@ -61,8 +66,8 @@
 
 /**
  * Proof of each answer, which must be newer than the call: a daemon that was suspended or cut off may still consider itself the
- * leader. A batch that is stored proves its decision, since the journal accepts none of a leader that was replaced. What a leader
- * does not know or refuses leaves no batch, so the store has to confirm its term after the call.
+ * leader. A batch that is stored proves its decision, since the journal accepts none of a leader that was replaced. A refusal, and
+ * the state of a job that the leader does not know, leave no batch, so the store has to confirm its term after the call.
  */
 const proofs: {
 	readonly [Type in JobAnswer['type']]: (
@@ -74,11 +79,9 @@
 	accepted: async (term, { batch }, { job }) =>
 		(await term.whenJobStored(job, batch)) === 'stored' ? 'proven' : 'withdrawn',
 	refused: (term, { kind }, call) => refusalProofs[kind](term, call),
-	cancelled: async (term, { batch }) => {
-		await term.whenStored(batch);
-		return 'proven';
-	},
-	'unknown-job': (term, _answer, call) => proveTerm(term, call, PROOF_TIMEOUT_MS),
+	cancelled: (term, { batch }) => proveBatch(term, batch),
+	'unknown-job': (term, answer, call) =>
+		'batch' in answer ? proveBatch(term, answer.batch) : proveTerm(term, call, PROOF_TIMEOUT_MS),
 	// The engine reports the state of a job as far as the journal has stored it, and a stored end is final.
 	state: () => Promise.resolve('proven'),
 };
