Keep copies of completed tasks in rewritten jobs

Cause: a reader of a rewritten job marked its tasks as done before it added the active runs, and a completed task accepts no run. A copy that was still executing was lost: the successor neither knew of it nor counted its resources, and could close the job.

Change: the reader adds the runs first.

--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -220,19 +220,18 @@
 		}
 	};
 
-	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): void => {
+	/** Restores a task without its completion. @returns the task, if it has completed */
+	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): Task | undefined => {
 		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...crashCounts] = snapshot;
 		const [crashes = 0, provenCrashes = 0, startCrashes = 0] = crashCounts;
 		const task = getOrCreateOccurrence(job, occurrence, now)?.steps[step]?.tasks[index];
 		if (task === undefined) {
-			return;
+			return undefined;
 		}
 		Object.assign(task, { lastRun, failures, checkpoint, crashes, provenCrashes, startCrashes });
 		task.step.lastGangRun = Math.max(task.step.lastGangRun, lastRun);
 		job.hasStarted ||= lastRun > 0;
-		if (isDone === 1) {
-			markDone(task, now);
-		}
+		return isDone === 1 ? task : undefined;
 	};
 
 	const addJob = (job: Job, now: number): void => {
@@ -330,8 +329,10 @@
 			}
 			const job = createJob(accepted, timesOf(accepted, now), offset, now);
 			addJob(job, now);
-			tasks.forEach(task => restoreTask(job, task, now));
+			const completed = tasks.map(task => restoreTask(job, task, now)).filter(task => task !== undefined);
+			// A copy may still be executing after its task has completed, and a completed task accepts no run.
 			active.forEach(run => addRun(run, now));
+			completed.forEach(task => markDone(task, now));
 			if (state !== 'open') {
 				endJob(job, state, now);
 			}
