Keep the end of a rewritten job whose last task completed later

Callers saw: nothing known; found by reading the code. A job that was cancelled, or had failed, would be shown as done after a change of leader.

Cause: a reader of a rewritten job marked its tasks as done before it applied the state of the job, and the completion of the last task ends an open job as done. A compaction writes such a job while a copy of that task is still executing.

Change: the reader applies the state of the job first, as the leader that wrote it did.

Test: both cases failed before (done instead of cancelled and failed), and pass now. vitest run rewrittenJobs.test.ts and journalCompaction.test.ts: 8 passed.

--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -332,10 +332,11 @@
 			const completed = tasks.map(task => restoreTask(job, task, now)).filter(task => task !== undefined);
 			// A copy may still be executing after its task has completed, and a completed task accepts no run.
 			active.forEach(run => addRun(run, now));
-			completed.forEach(task => markDone(task, now));
+			// A job that was cancelled or has failed stays so when its last task completes.
 			if (state !== 'open') {
 				endJob(job, state, now);
 			}
+			completed.forEach(task => markDone(task, now));
 		},
 	};
 
--- a/packages/engine/src/test/rewrittenJobs.test.ts
+++ b/packages/engine/src/test/rewrittenJobs.test.ts
@@ -62,4 +62,12 @@
 		expect(job.activeRuns).toBe(1);
 		expect(job.occurrences.get(0)?.steps[0]?.tasks[0]?.runs).toMatchObject([{ run: 2, workerKey: 'w2@1' }]);
 	});
+
+	// A cancelled job was shown as done after a change of leader.
+	it.each<JournalEvent>([
+		{ type: 'cancelled', job: JOB },
+		{ type: 'failed', job: JOB },
+	])('shows a job whose last task completed afterwards as $type', end => {
+		expect(jobOf(readJournal(rewritten(...copiedTask, end, firstDone))).state).toBe(end.type);
+	});
 });
