--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -244,11 +244,19 @@
 		}
 	};
 
+	/** Records that a known job was rewritten. A reader may have skipped the event that ended the job. */
+	const confirmSnapshot = (job: Job, state: Job['state'], offset: number, now: number): void => {
+		job.snapshotOffset = offset;
+		job.snapshotAt = now;
+		if (state !== 'open') {
+			endJob(job, state, now);
+		}
+	};
+
 	const restoreClosed = ([id, queue, team, state, acceptedAt]: ClosedJob, offset: number, now: number): void => {
 		const existing = jobs.get(id);
 		if (existing !== undefined) {
-			existing.snapshotOffset = offset;
-			existing.snapshotAt = now;
+			confirmSnapshot(existing, state, offset, now);
 			return;
 		}
 		const job = createClosedJob({ id, queue, team: team === '' ? undefined : team, acceptedAt }, offset, now);
@@ -323,8 +331,7 @@
 		rewritten: ({ job: accepted, state, tasks, active }, offset, now) => {
 			const existing = jobs.get(accepted.id);
 			if (existing !== undefined) {
-				existing.snapshotOffset = offset;
-				existing.snapshotAt = now;
+				confirmSnapshot(existing, state, offset, now);
 				return;
 			}
 			const job = createJob(accepted, timesOf(accepted, now), offset, now);
--- a/packages/engine/src/test/rewrittenJobs.test.ts
+++ b/packages/engine/src/test/rewrittenJobs.test.ts
@@ -71,3 +71,25 @@
 		expect(jobOf(readJournal(rewritten(...copiedTask, end, firstDone))).state).toBe(end.type);
 	});
 });
+
+describe('a successor that has skipped the event that ended a job', () => {
+	const started: JournalEvent = { type: 'started', runs: [[TASK, 1, 'w1', 1, false]] };
+	const closed: JournalEvent = { type: 'closed', jobs: [[JOB, 'desk', '', 'cancelled', 1]] };
+	const cancelled = rewritten(accepted({}), started, { type: 'cancelled', job: JOB });
+
+	// The job stayed open, and its tasks were started after its cancel.
+	it.each([
+		['closed', closed],
+		['rewritten', cancelled],
+	])('does not keep the job open once it reads that it was %s', (_name, event) => {
+		const context = readJournal(accepted({}), event);
+		expect(jobOf(context).state).toBe('cancelled');
+		expect(context.openJobCount).toBe(0);
+	});
+
+	it('does not end a job that is rewritten as open', () => {
+		const context = readJournal(accepted({}), rewritten(accepted({}), started));
+		expect(jobOf(context).state).toBe('open');
+		expect(context.openJobCount).toBe(1);
+	});
+});
