Count the failure of a gang once across a compaction

A job would be shown as failed after fewer attempts than its queue allows.

Cause: the members of a gang may report the failure of one run one after the other, and only the first report counts. The number of the run that was counted last was not part of a rewritten job, so that a successor counted a report that followed the compaction once more.

Change: a task of such a gang carries that number.

--- a/packages/engine/src/common/jobs/jobSnapshot.ts
+++ b/packages/engine/src/common/jobs/jobSnapshot.ts
@@ -15,7 +15,12 @@
 				if (lastRun > 0 || state === 'done') {
 					const isDone = state === 'done' ? 1 : 0;
 					const known = [occurrence.number, step.number, index, lastRun, failures, checkpoint, isDone] as const;
-					tasks.push(task.crashes > 0 ? [...known, task.crashes, task.provenCrashes, task.startCrashes] : known);
+					const { crashes, provenCrashes, startCrashes } = task;
+					if (step.lastFailedGangRun > 0) {
+						tasks.push([...known, crashes, provenCrashes, startCrashes, step.lastFailedGangRun]);
+					} else {
+						tasks.push(crashes > 0 ? [...known, crashes, provenCrashes, startCrashes] : known);
+					}
 				}
 				for (const run of runs) {
 					const { worker, incarnation: life } = parseWorkerKey(run.workerKey);
--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -222,14 +222,15 @@
 
 	/** Restores a task without its completion. @returns the task, if it has completed */
 	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): Task | undefined => {
-		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...crashCounts] = snapshot;
-		const [crashes = 0, provenCrashes = 0, startCrashes = 0] = crashCounts;
+		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...counts] = snapshot;
+		const [crashes = 0, provenCrashes = 0, startCrashes = 0, lastFailedGangRun = 0] = counts;
 		const task = getOrCreateOccurrence(job, occurrence, now)?.steps[step]?.tasks[index];
 		if (task === undefined) {
 			return undefined;
 		}
 		Object.assign(task, { lastRun, failures, checkpoint, crashes, provenCrashes, startCrashes });
 		task.step.lastGangRun = Math.max(task.step.lastGangRun, lastRun);
+		task.step.lastFailedGangRun = Math.max(task.step.lastFailedGangRun, lastFailedGangRun);
 		job.hasStarted ||= lastRun > 0;
 		return isDone === 1 ? task : undefined;
 	};
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -56,6 +56,8 @@
 	crashes?: number,
 	provenCrashes?: number,
 	startCrashes?: number,
+	/** Run of the task's gang whose failure was counted last; missing if there is none, or the task is no member of a gang. */
+	lastFailedGangRun?: number,
 ];
 
 /** Compact record of an ended job, of which only the state can still be requested. */
--- a/packages/engine/src/test/rewrittenJobs.test.ts
+++ b/packages/engine/src/test/rewrittenJobs.test.ts
@@ -72,6 +72,22 @@
 	});
 });
 
+describe('a gang of which two members report the failure of one run, before and after the job is rewritten', () => {
+	const other = `${JOB}.0.0.1`;
+	const failure = (task: string): JournalEvent => ({ type: 'ended', runs: [[task, 1, 'failed', '']] });
+
+	// The job failed after fewer attempts than its queue allows.
+	it('counts it once', () => {
+		const startedGang: JournalEvent = {
+			type: 'started',
+			runs: [TASK, other].map(task => [task, 1, 'w1', 1, false] as const),
+		};
+		const gang = rewritten(accepted({ count: 2, isGang: true }), startedGang, failure(TASK));
+		const { occurrences } = jobOf(readJournal(gang, failure(other)));
+		expect(occurrences.get(0)?.steps[0]?.tasks.map(({ failures }) => failures)).toEqual([1, 1]);
+	});
+});
+
 describe('a successor that has skipped the event that ended a job', () => {
 	const started: JournalEvent = { type: 'started', runs: [[TASK, 1, 'w1', 1, false]] };
 	const closed: JournalEvent = { type: 'closed', jobs: [[JOB, 'desk', '', 'cancelled', 1]] };
