Keep the records of a forgotten job until its removal is stored

Two successors disagreed on whether an ended job existed: the first answered with its state, the second with "no such job".

A job whose acceptance was not stored when a compaction began is not rewritten by it, so that its records precede those that the trim keeps.

Change: the records of a forgotten job count as needed until the batch with its removal is stored.

--- a/packages/engine/src/common/jobs/journalCompaction.ts
+++ b/packages/engine/src/common/jobs/journalCompaction.ts
@@ -40,6 +40,8 @@
 	const { jobs, settings } = context;
 	/** Rewritten state whose batches are not stored yet, in order. */
 	const unstoredSnapshots: { readonly job: Job | 'term'; readonly batch: number }[] = [];
+	/** Forgotten jobs whose removal is not stored yet: a successor that reads the journal still knows them. */
+	let unstoredRemovals: { readonly snapshotOffset: number; readonly batch: number }[] = [];
 	/** Offset of the newest record of this term, which the next leader must read. */
 	let termOffset = 0;
 	let nextMaintenanceAt = 0;
@@ -79,6 +81,7 @@
 			}
 			if (job.endedAt !== undefined && job.visibleState !== 'open' && now > job.endedAt + settings.stateKeptMs) {
 				forgotten.push(job.accepted.id);
+				unstoredRemovals.push({ snapshotOffset: job.snapshotOffset, batch: context.nextBatch });
 			}
 			hasExpiringRecord ||= now > job.snapshotAt + settings.rewriteAfterMs;
 		}
@@ -137,6 +140,7 @@
 	return {
 		stored: (batch, offset, now) => {
 			publishStates(batch);
+			unstoredRemovals = unstoredRemovals.filter(removal => removal.batch > batch);
 			while (context.unstoredJobs[0] !== undefined && context.unstoredJobs[0].acceptedBatch <= batch) {
 				const job = context.unstoredJobs.shift();
 				if (job !== undefined) {
@@ -167,8 +171,8 @@
 		},
 		trimBefore: () => {
 			let before = termOffset;
-			for (const job of jobs.all()) {
-				before = Math.min(before, job.snapshotOffset);
+			for (const { snapshotOffset } of [...jobs.all(), ...unstoredRemovals]) {
+				before = Math.min(before, snapshotOffset);
 			}
 			return before;
 		},
--- a/packages/engine/src/test/journalCompaction.test.ts
+++ b/packages/engine/src/test/journalCompaction.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { JournalEvent } from '../common/jobs/journalEvent.js';
 import { createEngineHarness, harnessJob, harnessQueue, harnessStep, type EngineHarness } from './engineHarness.js';
+import { modelSettings } from './modelSettings.js';
 import { readStoredJournal } from './storedJournal.js';
 
 const options = {
@@ -106,4 +107,23 @@
 		successor.advance(20);
 		expect(successor.engine.state('lasting-suspect', undefined)).toEqual({ type: 'state', state: 'failed' });
 	});
+
+	// Two successors disagreed on whether a job existed, depending on when the former leader's trim was carried out.
+	it('keeps the records of a forgotten job until its removal is stored', () => {
+		const harness = createEngineHarness(options);
+		// The acceptance is not stored yet when a compaction begins, which therefore does not rewrite the job.
+		harness.setJournalAvailable(false);
+		harness.submit('a', 'desk', harnessJob(harnessStep()));
+		harness.engine.cancel('a', undefined, harness.now);
+		harness.advance(modelSettings.rewriteAfterMs + 2_000);
+		harness.setJournalAvailable(true);
+		const acceptedAt = harness.journal.findIndex(({ type }) => type === 'accepted');
+		harness.setJournalAvailable(false);
+		harness.advance(modelSettings.stateKeptMs + 2_000);
+		expect(harness.engine.state('a', undefined)).toEqual({ type: 'unknown-job' });
+		expect(harness.engine.trimOffset()).toBeLessThanOrEqual(acceptedAt);
+		harness.setJournalAvailable(true);
+		harness.advance(modelSettings.rewriteAfterMs + 2_000);
+		expect(harness.engine.trimOffset()).toBeGreaterThan(acceptedAt);
+	});
 });
