--- a/packages/engine/src/common/jobs/jobTable.ts
+++ b/packages/engine/src/common/jobs/jobTable.ts
@@ -220,19 +220,19 @@
 		}
 	};
 
-	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): void => {
-		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...crashCounts] = snapshot;
-		const [crashes = 0, provenCrashes = 0, startCrashes = 0] = crashCounts;
+	/** Restores a task without its completion. @returns the task, if it has completed */
+	const restoreTask = (job: Job, snapshot: TaskSnapshot, now: number): Task | undefined => {
+		const [occurrence, step, index, lastRun, failures, checkpoint, isDone, ...counts] = snapshot;
+		const [crashes = 0, provenCrashes = 0, startCrashes = 0, lastFailedGangRun = 0] = counts;
 		const task = getOrCreateOccurrence(job, occurrence, now)?.steps[step]?.tasks[index];
 		if (task === undefined) {
-			return;
+			return undefined;
 		}
 		Object.assign(task, { lastRun, failures, checkpoint, crashes, provenCrashes, startCrashes });
 		task.step.lastGangRun = Math.max(task.step.lastGangRun, lastRun);
+		task.step.lastFailedGangRun = Math.max(task.step.lastFailedGangRun, lastFailedGangRun);
 		job.hasStarted ||= lastRun > 0;
-		if (isDone === 1) {
-			markDone(task, now);
-		}
+		return isDone === 1 ? task : undefined;
 	};
 
 	const addJob = (job: Job, now: number): void => {
@@ -245,11 +245,19 @@
 		}
 	};
 
+	/** Records that a known job was rewritten. A reader may have skipped the event that ended the job. */
+	const confirmSnapshot = (job: Job, state: Job['state'], offset: number, now: number): void => {
+		job.snapshotOffset = offset;
+		job.snapshotAt = now;
+		if (state !== 'open') {
+			endJob(job, state, now);
+		}
+	};
+
 	const restoreClosed = ([id, queue, team, state, acceptedAt]: ClosedJob, offset: number, now: number): void => {
 		const existing = jobs.get(id);
 		if (existing !== undefined) {
-			existing.snapshotOffset = offset;
-			existing.snapshotAt = now;
+			confirmSnapshot(existing, state, offset, now);
 			return;
 		}
 		const job = createClosedJob({ id, queue, team: team === '' ? undefined : team, acceptedAt }, offset, now);
@@ -325,17 +333,19 @@
 		rewritten: ({ job: accepted, state, tasks, active }, offset, now) => {
 			const existing = jobs.get(accepted.id);
 			if (existing !== undefined) {
-				existing.snapshotOffset = offset;
-				existing.snapshotAt = now;
+				confirmSnapshot(existing, state, offset, now);
 				return;
 			}
 			const job = createJob(accepted, timesOf(accepted, now), offset, now);
 			addJob(job, now);
-			tasks.forEach(task => restoreTask(job, task, now));
+			const completed = tasks.map(task => restoreTask(job, task, now)).filter(task => task !== undefined);
+			// A copy may still be executing after its task has completed, and a completed task accepts no run.
 			active.forEach(run => addRun(run, now));
+			// A job that was cancelled or has failed stays so when its last task completes.
 			if (state !== 'open') {
 				endJob(job, state, now);
 			}
+			completed.forEach(task => markDone(task, now));
 		},
 	};
 
