Wait for the leases of a predecessor on workers that were given a start

Cause: the end of the leases on a worker was taken from the calls of this term as soon as there was one, and a start grants one second. A worker that fell silent before this term had extended its lease lost all its runs 1.1 s later, those of the predecessor too.

Change: the later of both ends counts. The predecessor's leases end with the last moment at which it may have extended one, or with the first answer to this leader, since the worker refuses the predecessor from then on.

predecessorLease.test.ts 'although a task was started on it meanwhile' failed before (one start instead of none) and passes; the two controls passed before and pass. All tests of the engine passed. Ruled out: the predecessor's bound alone, which would hold recovery up by the time for which it might still have led.

--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -62,10 +62,15 @@
 	const listedEnds = createListedEnds(context, endRuns);
 	const stopOrders = createStopOrders(context);
 
-	/** Time when the leases extended by previous leaders have expired on a worker not reached in this term. */
-	const predecessorRunsEndBy = (): number => {
+	/** Time when the leases extended by previous leaders have expired on a worker, which refuses them once it has answered. */
+	const inheritedLeaseEndsBy = (state: WorkerState): number => {
 		const { stoppedAt, leaseMs, validMs } = context.predecessor;
-		return (stoppedAt ?? context.termBeganAt + validMs) + leaseMs / (1 - MAXIMUM_CLOCK_DRIFT) + LEASE_MARGIN_MS;
+		const lastExtendedBy = stoppedAt ?? context.termBeganAt + validMs;
+		const answeredLeaseEndsBy =
+			state.fencedClockMs === undefined ? undefined : latestLocalTime(state, state.fencedClockMs + leaseMs);
+		return (
+			Math.min(lastExtendedBy + leaseMs / (1 - MAXIMUM_CLOCK_DRIFT), answeredLeaseEndsBy ?? Infinity) + LEASE_MARGIN_MS
+		);
 	};
 
 	const findRun = (key: string, task: string, run: number): TaskRun | undefined =>
@@ -276,7 +281,7 @@
 		expireLeases: now => {
 			for (const state of [...workers.all()]) {
 				const isUnreachable = state.reachability !== 'answering' && !state.hasEnded;
-				const endsBy = state.leaseEndsBy === 0 ? predecessorRunsEndBy() : state.leaseEndsBy;
+				const endsBy = Math.max(state.leaseEndsBy, inheritedLeaseEndsBy(state));
 				if (isUnreachable && now > endsBy && state.runs.size > 0) {
 					incarnations.recordLoss(state, 'unexplained', now);
 					[...state.runs.values()].forEach(run => endRuns.discard(run, 'lease-ran-out', now));
