Do not pass a refusal on while the same leader may still accept the job

What callers saw, by the test: 429 at the only attempt to submit a job, whose tasks run. Its daemon had sent the job to the leader over a connection that was cut, had sent it again over a new one, and got a refusal. The first call reached the leader afterwards.

Cause: the daemon knew that an earlier call had got no answer, and used that only where no answer came at all. The proof of the term does not help: leader and term are right.

Change: a refusal by the leader of the term that an unanswered call was sent to, or of an earlier one, counts as an unknown outcome (504), after which the caller comes back.

--- a/packages/coordinator/src/node/entry/leaderClient.ts
+++ b/packages/coordinator/src/node/entry/leaderClient.ts
@@ -107,10 +107,13 @@
 			type Result = PeerMethods[typeof method]['result'];
 			/** Whether a leader may have executed the call, or an earlier call of the same submission. */
 			let mayBeExecuted = false;
+			/** Newest term whose leader was called and has not answered. */
+			let unansweredTerm = -Infinity;
 			const outcomeUnknown = (reason: string): Error => kindError('peer-unreachable', `${method}: ${reason}`);
 			const leaderBy = clock.now() + leaderlessWaitMs[method];
 			while (!signal.aborted && clock.now() < (mayBeExecuted ? deadline : Math.min(deadline, leaderBy))) {
 				const attemptMs = Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, deadline - clock.now()));
+				const calledTerm = election.leader()?.term ?? 0;
 				let result: Result;
 				try {
 					result = await callOnce(method, { ...parameters, ...(mayBeExecuted && uncertainFields[method]) }, attemptMs);
@@ -120,10 +123,15 @@
 					}
 				} catch {
 					mayBeExecuted = true;
+					unansweredTerm = Math.max(unansweredTerm, calledTerm);
 					counters.add('leader_calls_failed_total', { method });
 					await delay(RETRY_DELAY_MS, signal);
 					continue;
 				}
+				if (result.type === 'refused' && (result.decidedBy?.term ?? 0) <= unansweredTerm) {
+					// The same leader may still receive an earlier call, over a connection that has been closed since, and accept it.
+					throw outcomeUnknown('a repeated call was refused, but an earlier one may be executed');
+				}
 				if (result.type !== 'not-leading') {
 					return result as LeaderResult<typeof method>;
 				}
--- a/packages/coordinator/src/test/callLines.test.ts
+++ b/packages/coordinator/src/test/callLines.test.ts
@@ -60,7 +60,7 @@
 	const handlers = idlePeerHandlers({ whenTermBegun: () => Promise.resolve(term), clock });
 	const counters = createCounters();
 	const leaderClient = createLeaderClient({
-		election: { isLeading: true } as Partial<LeaderElection> as LeaderElection,
+		election: { isLeading: true, leader: () => undefined } as Partial<LeaderElection> as LeaderElection,
 		handlers: () => handlers,
 		planCache,
 		clock,
--- a/packages/coordinator/src/test/jobSubmission.test.ts
+++ b/packages/coordinator/src/test/jobSubmission.test.ts
@@ -45,7 +45,11 @@
 			},
 		};
 		return createLeaderClient({
-			election: { isLeading: false, leaderConnection: () => connection } as unknown as LeaderElection,
+			election: {
+				isLeading: false,
+				leader: () => undefined,
+				leaderConnection: () => connection,
+			} as unknown as LeaderElection,
 			handlers: () => successor,
 			planCache,
 			clock,
