Refuse no job as too large before the hosts are known

What callers saw, by the test: 400 for a job that the pool can run. A new leader had reached one small worker of it so far.

Cause: a job is refused for good if no worker that has answered could run it. Early in a term some workers have not answered, and the list of hosts, which names them all, has not been read.

Change: nothing is refused as too large before the first list of hosts.

partlyKnownFleet.test.ts failed before (refused as bad-request) and passes; 187 tests of the engine passed.

--- a/packages/engine/src/common/jobs/jobRequestHandler.ts
+++ b/packages/engine/src/common/jobs/jobRequestHandler.ts
@@ -69,7 +69,8 @@
 		const capacities = [...workers.current()].flatMap(state =>
 			state.entry?.pool === pool && workers.isCertain(state) ? [state.entry.resources] : [],
 		);
-		if (capacities.length === 0) {
+		// A new leader has reached only some of the workers before it has read the list of hosts.
+		if (capacities.length === 0 || context.hosts.listRequestedAt === undefined) {
 			return undefined;
 		}
 		// Hosts of other pools may be moved to this pool.
