Answer before the asking daemon stops waiting for the proof of an answer

The wait for a takeover and that for the proof could add up to 1.65 s, while the daemon that asks waits 1.5 s. Also, the earliest of the waiting calls decides when the record is renewed early, also if it began to wait after a later one. Found by reading; callers would have waited for some ms more, or for one more attempt.

--- a/packages/coordinator/src/common/termProof.ts
+++ b/packages/coordinator/src/common/termProof.ts
@@ -96,9 +96,8 @@
 				signal.addEventListener('abort', settle, { once: true });
 			}),
 		get neededSince() {
-			// Waiters are kept in the order of their calls, and the monotonic clock does not go back.
-			const [first] = waiters;
-			return first?.since;
+			// A call that arrived first may begin to wait later.
+			return waiters.size === 0 ? undefined : Math.min(...[...waiters].map(({ since }) => since));
 		},
 		ageMs: () => Math.max(clock.now() - newest.monotonicAt, clock.wallNow() - newest.wallAt),
 	};
--- a/packages/coordinator/src/node/entry/answerProofs.ts
+++ b/packages/coordinator/src/node/entry/answerProofs.ts
@@ -27,8 +27,11 @@
 /** The parts of a term that prove its answers. */
 export type ProvingTerm = Pick<LeaderTerm, 'whenStored' | 'whenJobStored' | 'whenConfirmed'>;
 
-/** Longest time for which an answer waits for its proof, in milliseconds. Its caller then asks again. */
-const PROOF_TIMEOUT_MS = 1_400;
+/**
+ * Longest time for which an answer waits for its proof, in milliseconds. Its caller then asks again. The daemon that asks waits
+ * longer, so that it hears of it.
+ */
+const PROOF_TIMEOUT_MS = 1_000;
 
 /** Age of the newest confirmation of the term up to which a count of jobs may be given. Callers expect no newer one. */
 const MAXIMUM_COUNT_AGE_MS = 2_000;
