--- a/packages/coordinator/src/node/journal/journalWriter.ts
+++ b/packages/coordinator/src/node/journal/journalWriter.ts
@@ -21,8 +21,11 @@
 /** Delay before an append that was refused or timed out is retried. */
 const RETRY_DELAY_MS = 60;
 
-/** Maximum number of events per append. It keeps an append below the limit of the log, 2 MiB per call. */
-const MAXIMUM_EVENTS_PER_APPEND = 2_000;
+/** Maximum size of an append; the log accepts 2 MiB per call. */
+const MAXIMUM_APPEND_BYTES = 1_500_000;
+
+/** Size of the prefix of a record in a call. */
+const RECORD_PREFIX_BYTES = 4;
 
 /** Options of {@link createJournalWriter}. */
 export interface JournalWriterOptions {
@@ -60,6 +63,10 @@
 	readonly events: readonly JournalEvent[];
 }
 
+function sizeOf(records: readonly Uint8Array[]): number {
+	return records.reduce((sum, record) => sum + record.length + RECORD_PREFIX_BYTES, 0);
+}
+
 /** Creates a journal writer that stops when the signal is aborted. */
 export function createJournalWriter(options: JournalWriterOptions, signal: AbortSignal): JournalWriter {
 	const { log, term, proof, clock, counters, appendEveryMs } = options;
@@ -76,13 +83,21 @@
 	let lastSentAt = -Infinity;
 	let unansweredSince: number | undefined;
 
-	const takeBatches = (): Batch[] => {
-		let events = 0;
-		const count = queuedBatches.findIndex(({ events: { length } }, index) => {
-			events += length;
-			return index > 0 && events > MAXIMUM_EVENTS_PER_APPEND;
-		});
-		return queuedBatches.splice(0, count < 0 ? queuedBatches.length : count);
+	/** Takes as many batches as fit into one append, at least one. */
+	const takeBatches = (): { readonly batches: Batch[]; readonly records: Uint8Array[] } => {
+		const records: Uint8Array[] = [];
+		let bytes = 0;
+		let count = 0;
+		for (const { events } of queuedBatches) {
+			const encoded = encodeEvents(events);
+			bytes += sizeOf(encoded);
+			if (count > 0 && bytes > MAXIMUM_APPEND_BYTES) {
+				break;
+			}
+			records.push(...encoded);
+			count++;
+		}
+		return { batches: queuedBatches.splice(0, count), records };
 	};
 
 	const appendWithTimeout = async (
@@ -103,12 +118,11 @@
 	};
 
 	/**
-	 * Appends batches, with retries while the outcome of an attempt is unknown.
+	 * Appends records, with retries while the outcome of an attempt is unknown.
 	 * @returns the offset; `not-stored` when the log refused the only attempt; `stopped` when the writer was fenced off or
 	 * stopped
 	 */
-	const appendBatches = async (batches: readonly Batch[]): Promise<number | 'not-stored' | 'stopped'> => {
-		const records = encodeEvents(batches.flatMap(({ events }) => events));
+	const appendRecords = async (records: readonly Uint8Array[]): Promise<number | 'not-stored' | 'stopped'> => {
 		counters.add('journal_bytes_total', {}, records.reduce((sum, record) => sum + record.length, 0));
 		let firstUnknown: TermConfirmation | undefined;
 		while (!signal.aborted) {
@@ -143,9 +157,9 @@
 			if (delayMs > 0) {
 				await delay(delayMs, signal);
 			}
-			const batches = takeBatches();
+			const { batches, records } = takeBatches();
 			const last = batches.at(-1);
-			const result = await appendBatches(batches);
+			const result = await appendRecords(records);
 			if (result === 'stopped' || last === undefined) {
 				return;
 			}
--- a/packages/coordinator/src/test/journalWriter.test.ts
+++ b/packages/coordinator/src/test/journalWriter.test.ts
@@ -27,6 +27,7 @@
 	const stored: JournalEvent[] = [];
 	const batches: number[] = [];
 	let appends = 0;
+	let largestAppend = 0;
 	const log = {
 		append: async (
 			_topic: string,
@@ -34,6 +35,10 @@
 			{ answerWithinMs = Infinity }: AppendConditions = {},
 		): Promise<AppendOutcome> => {
 			appends++;
+			largestAppend = Math.max(
+				largestAppend,
+				records.reduce((sum, { length }) => sum + length, 0),
+			);
 			await time.sleep(Math.min(appendLatencyMs, answerWithinMs));
 			if (answerWithinMs < appendLatencyMs) {
 				return { type: 'unknown', reason: 'no response in time' };
@@ -60,7 +65,7 @@
 		},
 		new AbortController().signal,
 	);
-	return { writer, stored, batches, proof, appends: () => appends };
+	return { writer, stored, batches, proof, appends: () => appends, largestAppend: () => largestAppend };
 }
 
 const refused: AppendOutcome = { type: 'refused', reason: 'busy' };
@@ -131,3 +136,24 @@
 		expect(proof.confirmedAt).toBe(firstSentAt + 1_000);
 	});
 });
+
+describe('batches that have waited for a log that refuses appends', () => {
+	const CALL_BYTES = 2_097_152;
+	const EVENT_BYTES = 5_000;
+
+	// An append of 1,200 rewritten jobs exceeded the limit of the log for a call, which refused it again and again.
+	it('are stored in appends that the log accepts, in order', async () => {
+		const { writer, stored, batches, largestAppend } = createWriter([refused]);
+		writer.add(1, [acceptance('first')]);
+		await time.advance(10);
+		const names = Array.from({ length: 24 * 50 }, (_, index) => `${index}`.padEnd(EVENT_BYTES, '.'));
+		for (let batch = 0; batch < 24; batch++) {
+			writer.add(2 + batch, names.slice(50 * batch, 50 * (batch + 1)).map(acceptance));
+		}
+		await time.advance(2_000);
+		expect(stored).toEqual(['first', ...names].map(acceptance));
+		expect(batches.at(-1)).toBe(25);
+		expect(largestAppend()).toBeGreaterThan(EVENT_BYTES * 50);
+		expect(largestAppend()).toBeLessThan(CALL_BYTES);
+	});
+});
