--- a/packages/coordinator/src/test/leadTerm.test.ts
+++ b/packages/coordinator/src/test/leadTerm.test.ts
@@ -7,6 +7,7 @@
 import type { BlockedListener } from '../node/journal/readJournal.js';
 import type { PeerNetwork } from '../node/peers/peerNetwork.js';
 import type { PlanCache } from '../node/plan/planCache.js';
+import { leadershipSettings } from './leadershipSettings.js';
 import { createVirtualTime, type VirtualTime } from './virtualTime.js';
 
 const identity = { term: 1, entryHost: 'a', address: 'a:1' };
@@ -37,16 +38,7 @@
 				begin = () => resolve(begunTerm);
 			});
 		},
-		settings: {
-			aliveEveryMs: 250,
-			silenceMs: 800,
-			askPeersMs: 250,
-			beatEveryMs: 1_000,
-			standstillMs: 2_500,
-			validMs: 5_000,
-			standAfterMs: 0,
-			standFirstAfterMs: 0,
-		},
+		settings: leadershipSettings,
 		self,
 		log: {
 			append: () => Promise.resolve({ type: 'appended', offset: 0, end: 1 }),
--- a/packages/coordinator/src/test/leadershipModel.ts
+++ b/packages/coordinator/src/test/leadershipModel.ts
@@ -2,7 +2,6 @@
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import { createSeededRandom } from '@chestnutwheel/base/common/seededRandom.js';
 import type { AppendOutcome, KeyedRecord, LogService, LogTopic } from '@chestnutwheel/ports/common/logService.js';
-import type { CoordinatorSettings } from '../common/coordinatorSettings.js';
 import type { PeerHandlers, PeerMethod } from '../common/peerProtocol.js';
 import { createPeerHandlers } from '../node/entry/peerHandlers.js';
 import { createJournalWriter } from '../node/journal/journalWriter.js';
@@ -16,6 +15,7 @@
 import { createRelayedLog } from '../node/relay/relayedLog.js';
 import { createStoreRelay } from '../node/relay/storeRelay.js';
 import type { PlanCache } from '../node/plan/planCache.js';
+import { leadershipSettings } from './leadershipSettings.js';
 import type { VirtualTime } from './virtualTime.js';
 
 /**
@@ -63,17 +63,6 @@
 	close(): void;
 }
 
-const settings: CoordinatorSettings['leadership'] = {
-	aliveEveryMs: 250,
-	silenceMs: 800,
-	askPeersMs: 250,
-	beatEveryMs: 1_000,
-	standstillMs: 2_500,
-	validMs: 5_000,
-	standAfterMs: 0,
-	standFirstAfterMs: 0,
-};
-
 const GRACE_MS = 4_500;
 const NETWORK_DELAY_MS = 1;
 const STORE_DELAY_MS = 4;
@@ -285,7 +274,7 @@
 		const termLeader = createTermLeader<MaintainedTerm>({
 			...shared,
 			log: relayedLog,
-			settings,
+			settings: leadershipSettings,
 			planCache: noPlan,
 			resignation: draining.signal,
 			resignBy: () => resignBy,
@@ -328,7 +317,7 @@
 		});
 		const election = createLeaderElection({
 			...shared,
-			settings,
+			settings: leadershipSettings,
 			random,
 			lead: async (identity, predecessor, termSignal) => {
 				const observed: ObservedTerm = {
@@ -362,12 +351,12 @@
 
 		const register = async (): Promise<void> => {
 			while (!signal.aborted && !(await members.register(signal))) {
-				await time.sleep(settings.askPeersMs, signal);
+				await time.sleep(leadershipSettings.askPeersMs, signal);
 			}
 		};
 		const exit = async (): Promise<void> => {
 			do {
-				await time.sleep(settings.aliveEveryMs, signal);
+				await time.sleep(leadershipSettings.aliveEveryMs, signal);
 			} while (election.isLeading && clock.now() < resignBy);
 			endpoint.isRunning = false;
 			process.abort();
--- a/packages/coordinator/src/test/termConfirmation.test.ts
+++ b/packages/coordinator/src/test/termConfirmation.test.ts
@@ -6,6 +6,7 @@
 import { maintainTerm, type MaintainedTerm } from '../node/leader/maintainTerm.js';
 import type { PeerNetwork } from '../node/peers/peerNetwork.js';
 import type { PlanCache } from '../node/plan/planCache.js';
+import { leadershipSettings } from './leadershipSettings.js';
 import { createVirtualTime, type VirtualTime } from './virtualTime.js';
 
 const identity = { term: 1, entryHost: 'a', address: 'a:1' };
@@ -35,16 +36,7 @@
 			blockedSince: () => undefined,
 			proof,
 			predecessor: { type: 'none' },
-			settings: {
-				aliveEveryMs: 250,
-				silenceMs: 800,
-				askPeersMs: 250,
-				beatEveryMs: 1_000,
-				standstillMs: 2_500,
-				validMs: 5_000,
-				standAfterMs: 0,
-				standFirstAfterMs: 0,
-			},
+			settings: leadershipSettings,
 			self,
 			log: {
 				append: async () => {
