Add failing tests of wave reports that are stored in the wrong order

A new leader reports a wave that is complete as running and as done at once, and each report is repeated on its own until it is stored. So does one that was suspended. The operator then sees a completed wave as running for good, since no leader reports it again before the next term.

The product code is not changed.

--- /dev/null
+++ b/packages/coordinator/src/test/hostOrderTask.test.ts
@@ -0,0 +1,73 @@
+import { beforeEach, describe, expect, it, vi } from 'vitest';
+import { createCounters } from '@chestnutwheel/base/common/counters.js';
+import type { Engine } from '@chestnutwheel/engine/common/engine.js';
+import type { HostService } from '@chestnutwheel/ports/common/hostService.js';
+import { createTermProof } from '../common/termProof.js';
+import { createHostOrderTask, type HostOrderTask } from '../node/leader/hostOrderTask.js';
+import { createVirtualTime, type VirtualTime } from './virtualTime.js';
+
+let time: VirtualTime;
+/** States of the wave in the order in which the store has stored them. */
+let stored: string[];
+
+vi.mock('@chestnutwheel/base/node/delay.js', () => ({
+	delay: (milliseconds: number, signal: AbortSignal) => time.sleep(milliseconds, signal),
+}));
+
+beforeEach(() => {
+	time = createVirtualTime();
+	stored = [];
+});
+
+/** Creates the task of a term. The store refuses its first `refusals` reports. */
+function createTask(term: number, refusals: number, signal: AbortSignal): HostOrderTask {
+	let left = refusals;
+	return createHostOrderTask(
+		{
+			engine: {} as Engine,
+			hosts: {} as HostService,
+			waveReports: {
+				publish: (_wave, state) => {
+					if (left-- > 0) {
+						return Promise.resolve(false);
+					}
+					stored.push(state);
+					return Promise.resolve(true);
+				},
+			},
+			clock: time.clock,
+			counters: createCounters(),
+			flush: () => undefined,
+			term,
+			holder: `front-${term}`,
+			proof: createTermProof(time.clock),
+		},
+		signal,
+	);
+}
+
+describe('the reports on a wave', () => {
+	// A new leader reports a wave that its predecessor has completed as running and as done at once. The first report was
+	// repeated after the second was stored, and the operator saw a completed wave as running for good.
+	it('end with its completion when the store refuses the first report', async () => {
+		const { signal } = new AbortController();
+		const task = createTask(1, 1, signal);
+		void task.report(1, 'running');
+		void task.report(1, 'done');
+		await time.advance(1_000);
+		expect(stored.at(-1)).toBe('done');
+	});
+
+	// A leader that was suspended before it repeated a report wrote it over the completion that its successor had reported.
+	it('end with its completion when a leader that was replaced repeats its report', async () => {
+		const former = new AbortController();
+		void createTask(1, 1, former.signal).report(1, 'running');
+		await time.advance(0);
+		const successor = createTask(2, 0, new AbortController().signal);
+		await successor.report(1, 'running');
+		await successor.report(1, 'done');
+		await time.advance(1_000);
+		former.abort();
+		expect(stored.at(-1)).toBe('done');
+	});
+});
