Report a wave as running only if it is not complete

A new leader reported every wave whose maintenance its predecessors had completed as running and as done at once, since the reported state is not journalled. Each report is retried on its own, so that the operator could see a completed wave as running for good.

A wave is now reported as running after the check for its completion, and not before it.

Measured: waveReports.test.ts failed before with running and done, and passes now. With the former order the new case of a wave that is not complete passes and the other fails; without the report of running it is the other way round. hostOrderHandover.test.ts: 9 passed.

The report of done is emitted as before, when the events that settle the last host are stored.

--- a/packages/engine/src/common/hosts/maintenanceWaves.ts
+++ b/packages/engine/src/common/hosts/maintenanceWaves.ts
@@ -126,6 +126,7 @@
 			reportState(state, 'done');
 			return;
 		}
+		reportState(state, 'running');
 		evacuateEarly(candidates, now);
 		const rounds = Math.ceil(candidates.length / Math.max(1, wave.maximumDown));
 		const remainingMs = seenAt + wave.durationMs - now;
@@ -189,9 +190,6 @@
 			}
 			for (const state of hosts.waves.values()) {
 				if (state.reportedState !== 'done') {
-					if (state.reportedState === undefined) {
-						reportState(state, 'running');
-					}
 					advanceWave(state, now);
 				}
 			}
--- a/packages/engine/src/test/waveReports.test.ts
+++ b/packages/engine/src/test/waveReports.test.ts
@@ -29,3 +29,14 @@
 		expect(reportedStates(harness)).toEqual(['done']);
 	});
 });
+
+describe('a new leader of a fleet whose wave is not complete', () => {
+	it('reports the wave as running, once', () => {
+		const harness = createEngineHarness(options);
+		harness.addWorker('w', 'desk', { host: 'host-1' });
+		harness.engine.wavesChanged([wave], harness.now);
+		harness.listHosts([{ host: 'host-1', pool: 'desk', worker: 'w' }]);
+		harness.advance(1_000);
+		expect(reportedStates(harness)).toEqual(['running']);
+	});
+});
