Send one report of a wave at a time, always the newest

A leader retried each report of a wave on its own. A report of running that the store refused once was repeated 300 ms later, after the completion was stored, and the operator saw the completed wave as running for the rest of the term.

A wave reporter now keeps the newest state of each wave and sends one report at a time. A retry sends the newest state, and a state that is reported while another is under way is sent after it.

Measured: hostOrderTask.test.ts: "end with its completion when the store refuses the first report" and a new case, a completion that is reported while the store handles the first report, fail with the former code and pass now; a case of several waves passes with both. Each of four mutations of the reporter (delete a state after any stored report, never run again, several reports under way, keep the oldest state) fails at least one of the three. The case of a replaced leader still fails; its fault is another one.

--- a/packages/coordinator/src/node/leader/hostOrderTask.ts
+++ b/packages/coordinator/src/node/leader/hostOrderTask.ts
@@ -1,10 +1,10 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import type { Counters } from '@chestnutwheel/base/common/counters.js';
-import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { Engine } from '@chestnutwheel/engine/common/engine.js';
 import type { HostAction } from '@chestnutwheel/engine/common/jobs/journalEvent.js';
 import type { HostOrderOutcome, HostService, WaveStatusPublisher } from '@chestnutwheel/ports/common/hostService.js';
 import type { TermProof } from '../../common/termProof.js';
+import { createWaveReporter, type WaveReporter } from './waveReporter.js';
 
 /**
  * Maximum age of the confirmation of the term by the store at which an order is sent to a host. A successor waits longer
@@ -12,9 +12,6 @@
  */
 const MAXIMUM_CONFIRMATION_AGE_MS = 1_500;
 
-/** Delay before a wave report that the store did not accept is retried. */
-const REPORT_RETRY_DELAY_MS = 300;
-
 /** Options of {@link createHostOrderTask}. */
 export interface HostOrderTaskOptions {
 	readonly engine: Engine;
@@ -29,9 +26,8 @@
 }
 
 /** Sends orders to hosts and wave reports to the operator. */
-export interface HostOrderTask {
+export interface HostOrderTask extends WaveReporter {
 	send(host: string, action: HostAction): Promise<void>;
-	report(wave: number, state: 'running' | 'done'): Promise<void>;
 }
 
 /** Creates the host order task of one term. It stops when the signal is aborted. */
@@ -45,6 +41,7 @@
 			: hosts.startMaintenance(host, action.wave, issuer, signal);
 
 	return {
+		...createWaveReporter(waveReports, signal),
 		send: async (host, action) => {
 			const isFresh = proof.ageMs() < MAXIMUM_CONFIRMATION_AGE_MS;
 			const answer = isFresh ? await order(host, action) : ({ type: 'not-sent' } as const);
@@ -54,10 +51,5 @@
 				flush();
 			}
 		},
-		report: async (wave, state) => {
-			while (!signal.aborted && !(await waveReports.publish(wave, state, signal))) {
-				await delay(REPORT_RETRY_DELAY_MS, signal);
-			}
-		},
 	};
 }
--- a/packages/coordinator/src/test/hostOrderTask.test.ts
+++ b/packages/coordinator/src/test/hostOrderTask.test.ts
@@ -9,6 +9,8 @@
 let time: VirtualTime;
 /** States of the wave in the order in which the store has stored them. */
 let stored: string[];
+/** Called when the store has received a report. */
+let onReceived: (state: string) => void;
 
 vi.mock('@chestnutwheel/base/node/delay.js', () => ({
 	delay: (milliseconds: number, signal: AbortSignal) => time.sleep(milliseconds, signal),
@@ -17,6 +19,7 @@
 beforeEach(() => {
 	time = createVirtualTime();
 	stored = [];
+	onReceived = () => undefined;
 });
 
 /** Creates the task of a term. The store refuses its first `refusals` reports. */
@@ -28,6 +31,7 @@
 			hosts: {} as HostService,
 			waveReports: {
 				publish: (_wave, state) => {
+					onReceived(state);
 					if (left-- > 0) {
 						return Promise.resolve(false);
 					}
@@ -58,6 +62,25 @@
 		expect(stored.at(-1)).toBe('done');
 	});
 
+	it('end with a completion that is reported while the store handles the first report', async () => {
+		const task = createTask(1, 0, new AbortController().signal);
+		onReceived = state => {
+			if (state === 'running') {
+				void task.report(1, 'done');
+			}
+		};
+		await task.report(1, 'running');
+		expect(stored).toEqual(['running', 'done']);
+	});
+
+	it('are stored for every wave', async () => {
+		const task = createTask(1, 0, new AbortController().signal);
+		void task.report(1, 'running');
+		await task.report(2, 'done');
+		await task.report(3, 'done');
+		expect(stored).toEqual(['running', 'done', 'done']);
+	});
+
 	// A leader that was suspended before it repeated a report wrote it over the completion that its successor had reported.
 	it('end with its completion when a leader that was replaced repeats its report', async () => {
 		const former = new AbortController();
