Report a wave as running only while the store confirms the term

A leader that was suspended between two attempts at a report wrote running over the completion that its successor had stored, since a report was retried without asking whether the term still stood.

Each attempt at a report of running now waits for a confirmation of the term that is newer than the attempt. A completion is sent without one: it is emitted when the events that settle the last host are stored, and remains true in later terms.

An attempt that is under way when the leader is suspended, or that the store carries out late, is not covered by this.

--- a/packages/coordinator/src/node/leader/hostOrderTask.ts
+++ b/packages/coordinator/src/node/leader/hostOrderTask.ts
@@ -32,7 +32,7 @@
 
 /** Creates the host order task of one term. It stops when the signal is aborted. */
 export function createHostOrderTask(options: HostOrderTaskOptions, signal: AbortSignal): HostOrderTask {
-	const { engine, hosts, waveReports, clock, counters, flush, term, holder, proof } = options;
+	const { engine, hosts, clock, counters, flush, term, holder, proof } = options;
 	const issuer = { holder, fencingToken: term };
 
 	const order = (host: string, action: HostAction): Promise<HostOrderOutcome> =>
@@ -41,7 +41,7 @@
 			: hosts.startMaintenance(host, action.wave, issuer, signal);
 
 	return {
-		...createWaveReporter(waveReports, signal),
+		...createWaveReporter(options, signal),
 		send: async (host, action) => {
 			const isFresh = proof.ageMs() < MAXIMUM_CONFIRMATION_AGE_MS;
 			const answer = isFresh ? await order(host, action) : ({ type: 'not-sent' } as const);
--- a/packages/coordinator/src/test/hostOrderTask.test.ts
+++ b/packages/coordinator/src/test/hostOrderTask.test.ts
@@ -2,7 +2,7 @@
 import { createCounters } from '@chestnutwheel/base/common/counters.js';
 import type { Engine } from '@chestnutwheel/engine/common/engine.js';
 import type { HostService } from '@chestnutwheel/ports/common/hostService.js';
-import { createTermProof } from '../common/termProof.js';
+import { createTermProof, type TermProof } from '../common/termProof.js';
 import { createHostOrderTask, type HostOrderTask } from '../node/leader/hostOrderTask.js';
 import { createVirtualTime, type VirtualTime } from './virtualTime.js';
 
@@ -23,9 +23,14 @@
 });
 
 /** Creates the task of a term. The store refuses its first `refusals` reports. */
-function createTask(term: number, refusals: number, signal: AbortSignal): HostOrderTask {
+function createTask(
+	term: number,
+	refusals: number,
+	signal: AbortSignal,
+): HostOrderTask & { readonly proof: TermProof } {
 	let left = refusals;
-	return createHostOrderTask(
+	const proof = createTermProof(time.clock);
+	const task = createHostOrderTask(
 		{
 			engine: {} as Engine,
 			hosts: {} as HostService,
@@ -44,10 +49,11 @@
 			flush: () => undefined,
 			term,
 			holder: `front-${term}`,
-			proof: createTermProof(time.clock),
+			proof,
 		},
 		signal,
 	);
+	return { ...task, proof };
 }
 
 describe('the reports on a wave', () => {
@@ -93,4 +99,34 @@
 		former.abort();
 		expect(stored.at(-1)).toBe('done');
 	});
+
+	it('are repeated by a leader once the store has confirmed its term again', async () => {
+		const task = createTask(1, 1, new AbortController().signal);
+		void task.report(1, 'running');
+		await time.advance(1_000);
+		expect(stored).toEqual([]);
+		task.proof.confirm(task.proof.sendTime());
+		await time.advance(0);
+		expect(stored).toEqual(['running']);
+	});
+
+	it('are the newest when the store confirms the term', async () => {
+		const task = createTask(1, 1, new AbortController().signal);
+		void task.report(1, 'running');
+		await time.advance(1_000);
+		void task.report(1, 'done');
+		task.proof.confirm(task.proof.sendTime());
+		await time.advance(0);
+		expect(stored).toEqual(['done']);
+	});
+
+	it('end with the term', async () => {
+		const term = new AbortController();
+		const task = createTask(1, 1, term.signal);
+		const reported = task.report(1, 'running');
+		await time.advance(1_000);
+		term.abort();
+		await reported;
+		expect(stored).toEqual([]);
+	});
 });
