Fence the wave reports of earlier terms

A report of running whose answer was lost could be carried out by the store seconds later, after the completion, whether the same leader or its successor had stored that. The append had no condition, and no later report followed in the term.

All leaders use one name. A successor reports every wave, and its first report fences off the earlier terms. A report whose answer was lost is repeated under its sequence number until its outcome is known, and only then is a newer one sent: under the same number the store would take the newer one for a repetition and not store it. A fenced reporter stops. If the store expects another sequence number, the report is repeated with that one, so that the operator still gets it.

No fence of its own is appended at the start of a term.

The publisher returns the outcome of the append in place of a boolean, so that hostOrderTask.test.ts returns refused and appended; its assertions are unchanged.

Not played on a real store.

--- a/packages/coordinator/src/node/leader/waveReporter.ts
+++ b/packages/coordinator/src/node/leader/waveReporter.ts
@@ -1,8 +1,12 @@
 import type { Clock } from '@chestnutwheel/base/common/clock.js';
 import { delay } from '@chestnutwheel/base/node/delay.js';
 import type { WaveStatusPublisher } from '@chestnutwheel/ports/common/hostService.js';
+import type { AppendOutcome } from '@chestnutwheel/ports/common/logService.js';
 import type { TermProof } from '../../common/termProof.js';
 
+/** Name of the idempotent writer. All leaders share it, so that a higher term fences off the lower ones. */
+const WAVE_REPORT_WRITER = 'leader';
+
 /** Delay before a report that the store did not accept is retried. */
 const RETRY_DELAY_MS = 300;
 
@@ -13,6 +17,7 @@
 export interface WaveReporterOptions {
 	readonly waveReports: WaveStatusPublisher;
 	readonly clock: Clock;
+	readonly term: number;
 	readonly proof: TermProof;
 }
 
@@ -22,11 +27,17 @@
 	report(wave: number, state: ReportedWaveState): Promise<void>;
 }
 
+type Report = readonly [wave: number, state: ReportedWaveState];
+
 /** Creates the wave reporter of one term. It stops when the signal is aborted. */
 export function createWaveReporter(options: WaveReporterOptions, signal: AbortSignal): WaveReporter {
-	const { waveReports, clock, proof } = options;
+	const { waveReports, clock, term, proof } = options;
 	/** Newest states that are not known to be stored, by wave. */
 	const pending = new Map<number, ReportedWaveState>();
+	/** Report that may be stored already or be stored later. Its sequence number is not used for another report. */
+	let unanswered: Report | undefined;
+	let sequence = 1;
+	let isFenced = false;
 	let isRunning = false;
 	let lastRun = Promise.resolve();
 
@@ -37,18 +48,49 @@
 	const whenCurrent = (state: ReportedWaveState): Promise<boolean> =>
 		state === 'done' ? Promise.resolve(true) : proof.whenConfirmed(clock.now(), signal);
 
+	const retry = (): Promise<void> => delay(RETRY_DELAY_MS, signal);
+
+	const reactions: {
+		readonly [Type in AppendOutcome['type']]: (
+			report: Report,
+			outcome: Extract<AppendOutcome, { type: Type }>,
+		) => Promise<void> | void;
+	} = {
+		appended: ([wave, state]) => {
+			sequence++;
+			unanswered = undefined;
+			if (pending.get(wave) === state) {
+				pending.delete(wave);
+			}
+		},
+		conflict: retry,
+		fenced: () => {
+			isFenced = true;
+		},
+		'out-of-sequence': (_report, { expected }) => {
+			sequence = expected;
+			return retry();
+		},
+		refused: retry,
+		unknown: report => {
+			unanswered = report;
+			return retry();
+		},
+	};
+
 	const storePending = async (): Promise<void> => {
-		for (let [next] = pending; next !== undefined && !signal.aborted; [next] = pending) {
-			const [wave, state] = next;
-			if (!(await whenCurrent(state)) || pending.get(wave) !== state) {
+		for (let [next] = pending; next !== undefined && !isFenced && !signal.aborted; [next] = pending) {
+			const report = unanswered ?? next;
+			const [wave, state] = report;
+			if (!(await whenCurrent(state)) || (unanswered === undefined && pending.get(wave) !== state)) {
 				continue;
 			}
-			const isStored = await waveReports.publish(wave, state, signal);
-			if (!isStored) {
-				await delay(RETRY_DELAY_MS, signal);
-			} else if (pending.get(wave) === state) {
-				pending.delete(wave);
-			}
+			const writer = { name: WAVE_REPORT_WRITER, epoch: term, sequence };
+			const outcome = await waveReports.publish(wave, state, writer, signal);
+			await (reactions[outcome.type] as (report: Report, outcome: AppendOutcome) => Promise<void> | void)(
+				report,
+				outcome,
+			);
 		}
 		isRunning = false;
 	};
--- a/packages/coordinator/src/test/hostOrderTask.test.ts
+++ b/packages/coordinator/src/test/hostOrderTask.test.ts
@@ -38,10 +38,10 @@
 				publish: (_wave, state) => {
 					onReceived(state);
 					if (left-- > 0) {
-						return Promise.resolve(false);
+						return Promise.resolve({ type: 'refused', reason: 'busy' });
 					}
 					stored.push(state);
-					return Promise.resolve(true);
+					return Promise.resolve({ type: 'appended', offset: stored.length - 1, end: stored.length });
 				},
 			},
 			clock: time.clock,
--- a/packages/ports/src/common/hostService.ts
+++ b/packages/ports/src/common/hostService.ts
@@ -1,3 +1,4 @@
+import type { AppendOutcome, WriterPosition } from './logService.js';
 import type { Resources } from './resources.js';
 
 /** State of a host as listed by the platform's host service. */
@@ -48,8 +49,8 @@
 
 /** Publishes the progress of maintenance waves to the operator. Calls never reject. */
 export interface WaveStatusPublisher {
-	/** Publishes the state of a wave. @returns whether the state is stored where the operator reads it */
-	publish(wave: number, state: 'running' | 'done', signal: AbortSignal): Promise<boolean>;
+	/** Publishes the state of a wave where the operator reads it, unless a writer with a higher epoch has published before. */
+	publish(wave: number, state: 'running' | 'done', writer: WriterPosition, signal: AbortSignal): Promise<AppendOutcome>;
 }
 
 /** A worker that may run a step, with the ticket that its start order has to carry. */
