--- a/packages/coordinator/src/node/entry/answerProofs.ts
+++ b/packages/coordinator/src/node/entry/answerProofs.ts
@@ -56,7 +56,7 @@
 
 /**
  * Proofs of refusals. No call to the store can prove a refusal that is given because the store does not serve the leader. It
- * rests on the daemon that holds the caller's connection, which has sent the job to no other leader.
+ * rests on the daemon that holds the caller's connection, which passes it on only if no other call of the submission can be accepted.
  */
 const refusalProofs: Readonly<Record<SubmitRefusal, RefusalProof>> = {
 	'unknown-queue': confirmedRefusal,
