--- a/review/shared-3/hosts.mjs
+++ b/review/shared-3/hosts.mjs
@@ -55,8 +55,18 @@
 		server.closeAllConnections();
 	});
 
-/** Starts the platform. @param onUpkeepAccepted called right after the response to an accepted upkeep was written */
-export async function startPlatform({ pool, machines, record, onUpkeepAccepted = () => undefined }) {
+/**
+ * Starts the platform.
+ * @param onUpkeepAccepted called right after the response to an accepted upkeep was written
+ * @param createWorker creates a life of a worker; by default the project's own stand-in
+ */
+export async function startPlatform({
+	pool,
+	machines,
+	record,
+	onUpkeepAccepted = () => undefined,
+	createWorker = createWorkerStandIn,
+}) {
 	const store = createStoreStandIn();
 	const hosts = new Map();
 	const allWorkers = [];
@@ -83,10 +93,10 @@
 		});
 	};
 
-	const powerOn = async host => {
+	const powerOn = async (host, id) => {
 		count++;
-		const worker = createWorkerStandIn({
-			id: `i-${count}`,
+		const worker = createWorker({
+			id: id ?? `i-${count}`,
 			host: host.name,
 			incarnation: Date.now(),
 			clockStartMs: 1_000_000 + ((count * CLOCK_STEP_MS) % 4_000_000),
@@ -189,6 +199,19 @@
 		orders,
 		configure: configuration => store.put('keyed.op', 'config', configuration),
 		requestWave: wave => store.put('keyed.op', `wave/${wave.wave}`, wave),
+		/** Crashes the worker of a machine. Its next life begins after some time, under the same id. */
+		crash: async (machine, downMs) => {
+			const host = hosts.get(machine);
+			const { worker, server } = host;
+			host.worker = undefined;
+			worker.stop();
+			await close(server);
+			setTimeout(() => {
+				if (!isClosed) {
+					void powerOn(host, worker.id).then(() => record(`${worker.id} has started again on ${machine}`));
+				}
+			}, downMs);
+		},
 		stateOf: machine => hosts.get(machine)?.state,
 		workerOn: machine => hosts.get(machine)?.worker,
 		waveStatus: wave => store.newest('keyed.status').get(`wave/${wave}`)?.state,
