Kill the daemons of review case 11 before the answer is sent

The leader could store the acceptance in the millisecond between the answer and the kill, which made the case hold now and then.

--- a/review/shared-3/hosts.mjs
+++ b/review/shared-3/hosts.mjs
@@ -38,7 +38,6 @@
 			.then(
 				answer => {
 					send(response, answer);
-					answer.onSent?.();
 				},
 				error => send(response, { status: 500, body: { error: String(error) } }),
 			);
@@ -57,7 +56,7 @@
 
 /**
  * Starts the platform.
- * @param onUpkeepAccepted called right after the response to an accepted upkeep was written
+ * @param onUpkeepAccepted called when an upkeep has been accepted, right before its answer is sent
  * @param createWorker creates a life of a worker; by default the project's own stand-in
  */
 export async function startPlatform({
@@ -155,7 +154,9 @@
 				});
 			}
 		}, UPKEEP_MS);
-		return { ...answer(200, undefined, `begun, ${id} is terminated`), onSent: onUpkeepAccepted };
+		const accepted = answer(200, undefined, `begun, ${id} is terminated`);
+		onUpkeepAccepted();
+		return accepted;
 	};
 
 	const handleHosts = async (request, url, body) => {
