Log by which list an order to a host is judged

Callers of review/11 saw a run of theirs started a second time beside itself, after the upkeep of a host had been accepted. The log said that its worker had ended (`worker-ended`, `host-upkeep`), but not whether the host service still listed that worker, nor which worker a successor had seen when it took an order of its predecessor for not executed. So a late call of the predecessor, an expired lease, the reading of the answer and the reading of the list could not be told apart.

`host-order-inherited` gives the list by which a new leader judges an order; `host-order-listed` gives what the first list requested after an acceptance shows, and whether the order has had an effect. Two counters, `host_orders_listed_total` and `listings_of_ended_workers_total`, show the contradictions. No decision changes; the reading of the list moves to a module of its own.

--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -1,9 +1,10 @@
-import type { HostOrderOutcome, HostState, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
+import type { HostOrderOutcome, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { HostAction, LastHostOrder } from '../jobs/journalEvent.js';
 import type { WorkerMonitor } from '../workers/workerMonitor.js';
 import { standbyPools } from '../pools/standbyPools.js';
 import type { Evacuation } from './evacuation.js';
+import { CALL_IN_FLIGHT_MARGIN_MS, createHostOrderEvidence, type InheritedOutcome } from './hostOrderEvidence.js';
 import { createHostOrder, type HostOrder, type HostOrderPhase } from './hostRegistry.js';
 
 /** Time for finite tasks to complete before those with checkpoints are stopped, in milliseconds. */
@@ -27,23 +28,12 @@
  */
 const ACTIVE_PREDECESSOR_MARGIN_MS = 2_000;
 
-/**
- * Margin added to the host lease once the predecessor has stopped, in milliseconds, for calls that are still in flight.
- */
-const CALL_IN_FLIGHT_MARGIN_MS = 500;
-
 /** Time after which a host that is listed as up counts as returned even if its new worker was not seen. */
 const UNSEEN_WORKER_TIMEOUT_MS = 1_500;
 
 /** Time for which a host must be missing from the list before it counts as removed. */
 const REMOVED_AFTER_MS = 2_000;
 
-/** State of a host while an order is carried out. */
-const AWAY_STATES: Readonly<Record<HostAction['type'], HostState>> = { move: 'moving', upkeep: 'upkeep' };
-
-/** What the host list shows of an order that a previous leader has journaled. */
-type InheritedOutcome = 'carried-out' | 'under-way' | 'not-executed';
-
 /**
  * Orders to hosts, one at a time for each host: evacuate it, journal the order, send it, and await the host's return.
  */
@@ -64,6 +54,7 @@
 /** Creates the component that executes orders to hosts. */
 export function createHostOrders(context: EngineContext, evacuation: Evacuation, monitor: WorkerMonitor): HostOrders {
 	const { hosts, workers, logDecision: note, counters } = context;
+	const evidence = createHostOrderEvidence(context);
 	/** Time from which a host that a predecessor has ordered may be ordered again, by host. */
 	const availableFrom = new Map<string, number>();
 
@@ -158,28 +149,6 @@
 	const earliestSendTime = (order: HostOrder): number =>
 		order.isRetry ? Math.max(order.notBefore, afterPredecessors()) : order.notBefore;
 
-	/**
-	 * Returns what the host list shows of an order that a previous leader has journaled, and that the host service may have
-	 * executed or not; `undefined` while the list leaves it open.
-	 */
-	const inheritedOutcome = ({ host, action, isRetry, phaseSince }: HostOrder): InheritedOutcome | undefined => {
-		const listed = hosts.hosts.get(host);
-		const { listRequestedAt } = hosts;
-		if (!isRetry || listed === undefined || listRequestedAt === undefined || listRequestedAt < phaseSince) {
-			return undefined;
-		}
-		if (listed.state !== 'up') {
-			return listed.state === AWAY_STATES[action.type] ? 'under-way' : undefined;
-		}
-		if (action.type === 'move' && action.pool === listed.pool) {
-			return 'carried-out';
-		}
-		const { stoppedAt } = context.predecessor;
-		return stoppedAt !== undefined && listRequestedAt >= stoppedAt + CALL_IN_FLIGHT_MARGIN_MS
-			? 'not-executed'
-			: undefined;
-	};
-
 	const inheritedOutcomeHandlers: Readonly<Record<InheritedOutcome, (order: HostOrder, now: number) => void>> = {
 		'carried-out': (order, now) => settle(order, true, 'carried-out-before', now, requestUntilNow(order)),
 		'under-way': (order, now) => {
@@ -191,7 +160,7 @@
 	};
 
 	const advanceEmptying = (order: HostOrder, now: number): void => {
-		const outcome = inheritedOutcome(order);
+		const outcome = evidence.inheritedOutcome(order, now);
 		if (outcome !== undefined) {
 			availableFrom.set(order.host, afterPredecessors());
 			inheritedOutcomeHandlers[outcome](order, now);
@@ -258,6 +227,7 @@
 
 	const advanceAway = (order: HostOrder, now: number): void => {
 		const listed = hosts.hosts.get(order.host);
+		evidence.logEffect(order, now);
 		if (listed !== undefined && listed.state !== 'up' && (hosts.listRequestedAt ?? 0) >= order.phaseSince) {
 			order.hasEndedWorker = true;
 		}
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -43,6 +43,8 @@
 	workerKey: string | undefined;
 	/** Whether the order is known to have ended that incarnation, and not a later one. */
 	hasEndedWorker: boolean;
+	/** Whether the effect that the host list shows of an accepted order was logged. */
+	isEffectLogged: boolean;
 	/** The last order to the host before this one; `undefined` if none is known. */
 	previous: LastHostOrder | undefined;
 	/** Wall-clock time when the host service accepted the order, in milliseconds since 1970. */
@@ -66,6 +68,7 @@
 		isRetry: isInherited,
 		workerKey: undefined,
 		hasEndedWorker: false,
+		isEffectLogged: false,
 		previous: undefined,
 		acceptedAt: undefined,
 	};
--- a/packages/engine/src/common/workers/workerMonitor.ts
+++ b/packages/engine/src/common/workers/workerMonitor.ts
@@ -219,6 +219,7 @@
 
 	const handleListing = (state: WorkerState, listing: WorkerListing, now: number): void => {
 		if (state.hasEnded) {
+			counters.add('listings_of_ended_workers_total');
 			return;
 		}
 		if (listing.incarnation !== state.incarnation) {
