Do not take the acceptance of an order to a host for the end of its worker

Cause: the host service also answers 200 when an operation is already done, and the two answers look the same. The leader read the answer to the first request of an order as the end of the worker that it knew on the host, and gave that worker's runs up. After an upkeep that a former leader had ordered, that worker had joined later and went on.

Evidence: `worker-ended` and `run-lost` for i-7, reason host-upkeep, 5 ms after the answer; `host-order-listed` shows the host up with i-7 0.6 s after the acceptance; i-7 answers polls meanwhile. Ruled out: a late call of the predecessor (the run goes on) and an expired lease.

Change: an acceptance ends no worker. The worker that an order is to end has ended once a list of the hosts that was requested after the acceptance shows the host away for it, or up with another worker; nothing has to be known of earlier requests for that. While runs wait for it, a list is requested at once instead of up to 500 ms later.

Price: runs that an upkeep has ended start again one list later, 0.1 s at most after the acceptance where lists are answered.

--- a/packages/engine/src/common/hosts/hostController.ts
+++ b/packages/engine/src/common/hosts/hostController.ts
@@ -15,6 +15,9 @@
 /** Interval between two reads of the host list while orders or waves are open, in milliseconds. */
 const LIST_INTERVAL_MS = 500;
 
+/** Shortest interval between two reads, for which a list that is due at once waits, in milliseconds. */
+const MINIMUM_LIST_INTERVAL_MS = 100;
+
 /** Interval between two reads of the host list otherwise, in milliseconds. */
 const IDLE_LIST_INTERVAL_MS = 5_000;
 
@@ -55,14 +58,17 @@
 	let nextListAt = 0;
 	let isListInFlight = false;
 	let listRequestedAt = 0;
+	let mayListAgainAt = 0;
 	let rewritten: { readonly batch: number; readonly at: number } | undefined;
 
 	const requestHostList = (now: number): void => {
 		const intervalMs = orders.needsHostList || waves.isActive ? LIST_INTERVAL_MS : IDLE_LIST_INTERVAL_MS;
-		if (!isListInFlight && now >= Math.min(nextListAt, (hosts.listRequestedAt ?? -Infinity) + intervalMs)) {
+		const nextAt = Math.min(nextListAt, (hosts.listRequestedAt ?? -Infinity) + intervalMs);
+		if (!isListInFlight && (now >= nextAt || (orders.needsHostListNow && now >= mayListAgainAt))) {
 			isListInFlight = true;
 			listRequestedAt = now;
 			nextListAt = now + IDLE_LIST_INTERVAL_MS;
+			mayListAgainAt = now + MINIMUM_LIST_INTERVAL_MS;
 			context.emitNow({ type: 'list-hosts' });
 		}
 	};
@@ -87,6 +93,7 @@
 			if (list === undefined) {
 				context.counters.add('host_lists_failed_total');
 				nextListAt = now + LIST_INTERVAL_MS;
+				mayListAgainAt = nextListAt;
 			} else {
 				hosts.applyList(list, listRequestedAt);
 			}
--- a/packages/engine/src/common/hosts/hostOrderEvidence.ts
+++ b/packages/engine/src/common/hosts/hostOrderEvidence.ts
@@ -1,4 +1,4 @@
-import type { HostState } from '@chestnutwheel/ports/common/hostService.js';
+import type { HostState, ListedHost } from '@chestnutwheel/ports/common/hostService.js';
 import type { EngineContext } from '../engineContext.js';
 import type { HostAction } from '../jobs/journalEvent.js';
 import { parseWorkerKey } from '../workers/workerKey.js';
@@ -23,13 +23,19 @@
 	 * executed or not; `undefined` while the list leaves it open.
 	 */
 	inheritedOutcome(order: HostOrder, now: number): InheritedOutcome | undefined;
+	/**
+	 * Whether a list requested after the acceptance of an order shows that the worker which the order was to end is gone: the host
+	 * is away for it, or has another worker. The acceptance alone does not, since the host service also accepts an order that was
+	 * carried out before, after which another worker may have joined.
+	 */
+	showsEnd(order: HostOrder): boolean;
 	/** Logs what the first list requested after the acceptance of an order shows. */
 	logEffect(order: HostOrder, now: number): void;
 }
 
 /** Creates the reader for the hosts of a context. */
 export function createHostOrderEvidence(context: EngineContext): HostOrderEvidence {
-	const { hosts, logDecision: note, counters } = context;
+	const { hosts, workers, logDecision: note, counters } = context;
 
 	const readInheritedOutcome = ({ host, action, isRetry, phaseSince }: HostOrder): InheritedOutcome | undefined => {
 		const listed = hosts.hosts.get(host);
@@ -49,6 +55,10 @@
 			: undefined;
 	};
 
+	/** Returns the host in a list that was requested after the acceptance of its order; `undefined` if there is none yet. */
+	const listedSinceAcceptance = ({ host, phase, phaseSince }: HostOrder): ListedHost | undefined =>
+		phase === 'away' && (hosts.listRequestedAt ?? -Infinity) >= phaseSince ? hosts.hosts.get(host) : undefined;
+
 	const listAgeMs = (now: number): number => Math.round(now - (hosts.listRequestedAt ?? now));
 
 	return {
@@ -70,9 +80,20 @@
 			}
 			return outcome;
 		},
+		showsEnd: order => {
+			const { host, action, workerKey } = order;
+			const listed = listedSinceAcceptance(order);
+			if (workerKey === undefined || listed === undefined) {
+				return false;
+			}
+			// The entry by which the worker was taken for that of this host may have come from another writer.
+			const isOfHost = (workers.get(workerKey)?.entry?.host ?? host) === host;
+			const hasOtherWorker = listed.state === 'up' && listed.worker !== parseWorkerKey(workerKey).worker;
+			return isOfHost && (hasOtherWorker || listed.state === AWAY_STATES[action.type]);
+		},
 		logEffect: (order, now) => {
-			const listed = hosts.hosts.get(order.host);
-			if (order.isEffectLogged || listed === undefined || (hosts.listRequestedAt ?? 0) < order.phaseSince) {
+			const listed = listedSinceAcceptance(order);
+			if (order.isEffectLogged || listed === undefined) {
 				return;
 			}
 			order.isEffectLogged = true;
--- a/packages/engine/src/common/hosts/hostOrders.ts
+++ b/packages/engine/src/common/hosts/hostOrders.ts
@@ -49,6 +49,8 @@
 	advance(now: number): void;
 	/** Whether any order waits for an update of the host list. */
 	readonly needsHostList: boolean;
+	/** Whether a list is due at once, because runs of an accepted order can start again as soon as it shows their worker's end. */
+	readonly needsHostListNow: boolean;
 }
 
 /** Creates the component that executes orders to hosts. */
@@ -152,7 +154,7 @@
 	const inheritedOutcomeHandlers: Readonly<Record<InheritedOutcome, (order: HostOrder, now: number) => void>> = {
 		'carried-out': (order, now) => settle(order, true, 'carried-out-before', now, requestUntilNow(order)),
 		'under-way': (order, now) => {
-			const acceptance = { endedWorker: undefined };
+			const acceptance = { worker: order.workerKey };
 			context.record({ type: 'host-accepted', host: order.host, acceptance, last: requestUntilNow(order) }, now);
 		},
 		// The host serves on, instead of staying empty until a second request may be sent.
@@ -228,9 +230,6 @@
 	const advanceAway = (order: HostOrder, now: number): void => {
 		const listed = hosts.hosts.get(order.host);
 		evidence.logEffect(order, now);
-		if (listed !== undefined && listed.state !== 'up' && (hosts.listRequestedAt ?? 0) >= order.phaseSince) {
-			order.hasEndedWorker = true;
-		}
 		endWorkerIncarnation(order, now);
 		if (listed !== undefined && hasReturned(order, listed, now)) {
 			if (order.action.type === 'move' && !standbyPools(context.plan).has(listed.pool)) {
@@ -248,14 +247,25 @@
 		away: advanceAway,
 	};
 
-	/** Ends the worker incarnation on a host that has gone down, none of whose runs is at work any more. */
+	/** Ends the worker incarnation that an order has ended, none of whose runs is at work any more. */
 	const endWorkerIncarnation = (order: HostOrder, now: number): void => {
 		const state = order.workerKey === undefined ? undefined : workers.get(order.workerKey);
-		if (order.hasEndedWorker && state?.hasEnded === false) {
+		if (state?.hasEnded === false && evidence.showsEnd(order)) {
 			monitor.endIncarnation(state, `host-${order.action.type}`, now);
 		}
 	};
 
+	/** Whether an accepted order may have ended runs, while no list requested since has shown it. */
+	const awaitsEffect = ({ phase, phaseSince, workerKey }: HostOrder): boolean => {
+		const state = workerKey === undefined ? undefined : workers.get(workerKey);
+		return (
+			phase === 'away' &&
+			state?.hasEnded === false &&
+			state.runs.size > 0 &&
+			(hosts.listRequestedAt ?? -Infinity) < phaseSince
+		);
+	};
+
 	const answerHandlers: {
 		readonly [Type in HostOrderOutcome['type'] | 'not-sent']: (
 			order: HostOrder,
@@ -265,11 +275,9 @@
 	} = {
 		accepted: (order, _answer, now) => {
 			order.acceptedAt = Math.round(context.wallNow());
-			// The acceptance of a retry may refer to the first request, after which another worker has started on the host.
-			const acceptance = { endedWorker: order.isRetry ? undefined : order.workerKey };
+			const acceptance = { worker: order.workerKey };
 			const last = [order.host, context.term ?? 0, order.acceptedAt] as const;
 			context.record({ type: 'host-accepted', host: order.host, acceptance, last }, now);
-			endWorkerIncarnation(order, now);
 		},
 		refused: (order, { reason }, now) => {
 			counters.add('host_orders_refused_total', { action: order.action.type, reason });
@@ -341,5 +349,8 @@
 		get needsHostList() {
 			return [...hosts.orders.values()].some(({ phase, isRetry }) => phase !== 'emptying' || isRetry);
 		},
+		get needsHostListNow() {
+			return [...hosts.orders.values()].some(awaitsEffect);
+		},
 	};
 }
--- a/packages/engine/src/common/hosts/hostRegistry.ts
+++ b/packages/engine/src/common/hosts/hostRegistry.ts
@@ -37,12 +37,10 @@
 	/** Whether an earlier request may have been executed, so that an acceptance may refer to that one. */
 	isRetry: boolean;
 	/**
-	 * Key of the worker incarnation that the order ends; `undefined` while the host is being evacuated or without a
-	 * worker.
+	 * Key of the worker incarnation that the order is to end; `undefined` while the host is being evacuated or without a
+	 * worker. Only the list of hosts shows that it has ended.
 	 */
 	workerKey: string | undefined;
-	/** Whether the order is known to have ended that incarnation, and not a later one. */
-	hasEndedWorker: boolean;
 	/** Whether the effect that the host list shows of an accepted order was logged. */
 	isEffectLogged: boolean;
 	/** The last order to the host before this one; `undefined` if none is known. */
@@ -67,7 +65,6 @@
 		isJournaled: isInherited,
 		isRetry: isInherited,
 		workerKey: undefined,
-		hasEndedWorker: false,
 		isEffectLogged: false,
 		previous: undefined,
 		acceptedAt: undefined,
@@ -159,13 +156,12 @@
 		}
 	};
 
-	const applyAcceptance = (host: string, { endedWorker }: HostOrderAcceptance, now: number): void => {
+	const applyAcceptance = (host: string, { worker, endedWorker }: HostOrderAcceptance, now: number): void => {
 		const order = orders.get(host);
 		if (order !== undefined) {
 			order.phase = 'away';
 			order.phaseSince = now;
-			order.workerKey = endedWorker ?? order.workerKey;
-			order.hasEndedWorker = endedWorker !== undefined;
+			order.workerKey = worker ?? endedWorker ?? order.workerKey;
 		}
 	};
 
@@ -237,12 +233,12 @@
 		rewrite: term => {
 			const open: PendingHostOrder[] = [...orders.values()]
 				.filter(({ isJournaled }) => isJournaled)
-				.map(({ host, action, phase, workerKey, hasEndedWorker }) => ({
+				.map(({ host, action, phase, workerKey }) => ({
 					host,
 					action,
 					term,
 					orderedAt: lastOrders.get(host)?.[2] ?? 0,
-					acceptance: phase === 'away' ? { endedWorker: hasEndedWorker ? workerKey : undefined } : undefined,
+					acceptance: phase === 'away' ? { worker: workerKey } : undefined,
 				}));
 			const progress: WaveProgress[] = [...settledByWave].map(([wave, settled]) => ({ wave, settled: [...settled] }));
 			const last = [...lastOrders.values()];
--- a/packages/engine/src/common/jobs/journalEvent.ts
+++ b/packages/engine/src/common/jobs/journalEvent.ts
@@ -127,9 +127,14 @@
 	readonly acceptance?: HostOrderAcceptance | undefined;
 }
 
-/** Acceptance of an order by the host service, which has taken the host down. */
+/** Acceptance of an order by the host service, which takes the host down, or did so for the same order before. */
 export interface HostOrderAcceptance {
-	/** Key of the worker incarnation that ended with it; absent if none was known. */
+	/** Key of the worker incarnation that the order was to end; absent if none was known. */
+	readonly worker?: string | undefined;
+	/**
+	 * As `worker`, in records of earlier versions, which took the acceptance as proof of the end. Not written, since their leaders
+	 * still read it so.
+	 */
 	readonly endedWorker?: string | undefined;
 }
 
